--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -119,6 +119,7 @@
     set_attempt_state(a, AttemptState::exited, now);
     if (cause == ExitCause::done) {
         if (m != nullptr) m->failed_jobs.clear();
+        learn_run(j, a, now);
         if (j.done_dirty_since == 0) j.done_dirty_since = now;
         if (j.gang()) {
             // They complete together: if one is done, all are.
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -166,9 +166,13 @@
     bool make_room(Job& j, std::uint32_t tasks, Millis now);
     bool allowed(const Job& j, const Machine& m) const;
     std::vector<Job*> queue(Millis now);
+    jobs::Urgency urgency(const Job& j, Millis now) const;
 
     // supply.cpp
     void plan_supply(const std::vector<Job*>& unplaced, Millis now);
+    std::uint32_t places_soon_free(Millis now) const;
+    double expected_run_s(const Job& j) const;
+    void learn_run(const Job& j, const Attempt& a, Millis now);
     void hire(Index type, Index zone, bool spot, std::uint32_t count, Millis now);
     void on_hired(std::string request, Index type, Index zone, bool spot, std::uint32_t count,
                   const HireReply& reply, Millis now);
@@ -218,6 +222,10 @@
         std::uint32_t refusals = 0;
     };
     std::map<std::tuple<Index, Index, bool>, Offer> offers_;
+    struct Learned {
+        double ran_s = 0, guessed_s = 0;
+    };
+    std::vector<Learned> learned_;  // by class
     struct Hiring {
         Index type, zone;
         bool spot;
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -160,6 +160,7 @@
     }
     j.image = image_names_.add(j.spec.image);
     j.job_class = class_names_.add(j.spec.job_class);
+    learned_.resize(class_names_.size());
     if (j.spec.zone) j.zone = zone_names_.add(*j.spec.zone);
     j.allowed_type.assign(type_names_.size(), j.spec.any_type ? 1 : 0);
     for (const std::string& t : j.spec.types) {
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -53,14 +53,40 @@
         int p = 3 - static_cast<int>(j->spec.priority);
         return j->within_guarantee ? p : p + 4;
     };
+    for (Job* j : out) j->urgency = urgency(*j, now);
     std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
         int ra = rank(a), rb = rank(b);
         if (ra != rb) return ra < rb;
-        return std::tie(a->accepted_at, a->spec.id) < std::tie(b->accepted_at, b->spec.id);
+        return std::tie(a->urgency.missed, a->urgency.start_by, a->accepted_at, a->spec.id) <
+               std::tie(b->urgency.missed, b->urgency.start_by, b->accepted_at, b->spec.id);
     });
     return out;
 }
 
+// How many of its class's objectives a job can no longer meet, and when it must start for the next
+// one. A job that is late already lets those go first that are not.
+jobs::Urgency Dispatcher::urgency(const Job& j, Millis now) const {
+    jobs::Urgency u;
+    if (j.spec.shape != wire::Shape::array) return u;
+    Millis run = seconds(expected_run_s(j));
+    Millis first = kNever;
+    for (const wire::Objective& o : settings_.objectives) {
+        if (o.job_class != j.spec.job_class) continue;
+        Millis due;
+        if (o.kind == wire::Objective::Kind::finished) due = j.accepted_at + seconds(o.within_s);
+        else if (o.kind == wire::Objective::Kind::deadline && j.spec.deadline_s) {
+            due = j.accepted_at + seconds(*j.spec.deadline_s * o.times);
+        } else {
+            continue;
+        }
+        Millis start_by = due - run;
+        if (start_by < now) ++u.missed;
+        else first = std::min(first, start_by);
+    }
+    u.start_by = first;
+    return u;
+}
+
 void Dispatcher::schedule(Millis now) {
     if (!started_ || deposed_) return;
     dirty_ = false;
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -43,10 +43,16 @@
     }
     std::map<std::tuple<Index, Index, bool>, std::uint32_t> wanted;
     std::size_t fresh = 0;
+    std::uint32_t soon_free = places_soon_free(now);
     for (Job* j : unplaced) {
         Need need = placing::need_of(*j);
         std::uint32_t tasks = std::min(j->unstarted(), room_in_limit(*j));
         if (j->gang() && tasks < j->spec.tasks) continue;
+        if (j->spec.shape == wire::Shape::array) {
+            std::uint32_t k = std::min(tasks, soon_free);
+            soon_free -= k;
+            tasks -= k;
+        }
         Index zone = j->zone;
         // Gangs of one zone are packed into the zone that already has most room coming.
         std::vector<std::uint32_t> in_zone(zone_names_.size());
@@ -133,6 +139,40 @@
     }
 }
 
+// A machine hired now is of use after its boot. Places that running array tasks leave before then
+// serve the queue as early, and cost nothing.
+std::uint32_t Dispatcher::places_soon_free(Millis now) const {
+    double boot_s = 0;
+    for (const wire::MachineType& t : types_) {
+        if (boot_s == 0 || t.boot_s < boot_s) boot_s = t.boot_s;
+    }
+    double places = 0;
+    for (const auto& [id, j] : jobs_) {
+        if (j->spec.shape != wire::Shape::array || j->state != jobs::JobState::open) continue;
+        double run_s = std::max(1.0, expected_run_s(*j));
+        for (const auto& a : j->attempts) {
+            if (!a->live() || a->running_since == 0) continue;
+            double left_s = std::max(0.0, run_s - static_cast<double>(now - a->running_since) / 1000.0);
+            if (left_s < boot_s) places += 1;
+        }
+    }
+    return static_cast<std::uint32_t>(places);
+}
+
+double Dispatcher::expected_run_s(const Job& j) const {
+    const Learned& l = learned_[j.job_class];
+    double ratio = l.guessed_s > 0 ? l.ran_s / l.guessed_s : 1.0;
+    return j.spec.estimate_s * ratio;
+}
+
+// Owners' guesses are off, on some days all the same way: remembers how much, class by class.
+void Dispatcher::learn_run(const Job& j, const Attempt& a, Millis now) {
+    if (a.running_since == 0 || a.number != 1 || j.spec.estimate_s <= 0) return;
+    Learned& l = learned_[j.job_class];
+    l.ran_s = l.ran_s * 0.97 + static_cast<double>(now - a.running_since) / 1000.0;
+    l.guessed_s = l.guessed_s * 0.97 + j.spec.estimate_s;
+}
+
 void Dispatcher::hire(Index type, Index zone, bool spot, std::uint32_t count, Millis now) {
     for (const auto& [name, h] : hiring_) {
         if (h.type == type && h.zone == zone && h.spot == spot) return;  // one question at a time
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -75,6 +75,11 @@
     std::uint32_t last_attempt;
 };
 
+struct Urgency {
+    int missed = 0;
+    Millis start_by = 0;
+};
+
 struct Job {
     Index index = kNone;
     wire::JobSpec spec;
@@ -107,6 +112,7 @@
     std::uint32_t back_offs = 0;
 
     bool within_guarantee = false;
+    Urgency urgency;
     Millis starved_since = 0;  // first time no place was found
 
     links::Links links;
