--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -150,6 +150,10 @@
     spdlog::info("machine {} is gone with {} tasks", m.name, m.attempts.size());
     set_machine_state(m, MachineState::gone);
     while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
+    if (m.type != kNone) {
+        // Its place at the cloud is free again.
+        if (auto it = offers_.find({m.type, m.zone, m.spot}); it != offers_.end()) it->second = {};
+    }
     ledger_.remove(m.name);
     roster_.remove(&m);
     dirty_ = true;
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -10,8 +10,8 @@
 using placing::Need;
 
 namespace {
-constexpr Millis kFirstBlock = 8'000;
-constexpr Millis kMostBlock = 60'000;
+constexpr Millis kFirstBlock = 5'000;
+constexpr Millis kMostBlock = 20'000;
 constexpr std::uint32_t kMostHire = 50;   // the cloud's own limit a request
 constexpr std::size_t kMostReturn = 100;  // likewise
 constexpr double kLate = 1.7;             // boots beyond this many boot times no longer count
