Replicas move together, spare whole machines by forecast, gangs are stopped late only

A machine whose replicas all fit elsewhere, image included, is emptied; ordinary machines idle only as far as gangs arriving within 2.5 boot times may want them; a gang is stopped only for work that has waited a boot time.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -13,6 +13,7 @@
 #include "base/time.h"
 #include "blocks/ledger.h"
 #include "dispatch/outbox.h"
+#include "fleet/forecast.h"
 #include "jobs/job.h"
 #include "placing/placer.h"
 #include "wire/settings.h"
@@ -180,6 +181,10 @@
     void return_machine(Machine& m, const char* why);
     void send_returns(Millis now);
     Millis idle_keep(const Machine& m) const;
+    bool whole(const Job& j) const;
+    void count_spare(Millis now);
+    bool move_replicas(Machine& from, Millis now);
+    void consolidate(Millis now);
 
     // Wraps a callback so that it does nothing once the term is over.
     template <typename F>
@@ -226,6 +231,9 @@
         double ran_s = 0, guessed_s = 0;
     };
     std::vector<Learned> learned_;  // by class
+    fleet::Forecast whole_arrivals_;  // tasks that want most of a machine, at once
+    std::size_t spare_wanted_ = 0, spare_ = 0;  // machines that such tasks could have at once
+    Millis next_consolidation_ = 0;
     struct Hiring {
         Index type, zone;
         bool spot;
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -178,6 +178,7 @@
     j.accepted_event = j.links.add_event({});
     j.cancelled_event = j.links.add_event({.forcible = true});
     j.links.submit(j.accepted_event);
+    if (whole(j)) whole_arrivals_.arrived(j.spec.tasks, j.accepted_at);
     jobs_.emplace(j.spec.id, std::move(owned));
     if (record.cancelled) {
         j.links.submit(j.cancelled_event);
@@ -193,6 +194,9 @@
     if (j == nullptr) {
         j = add_job(record, version, wall_ms, now);
         update_guarantees(j->team);
+        spdlog::debug("job {} of {}: {} tasks of class {}, image {} of {} GB{}", j->spec.id,
+                      j->spec.team, j->spec.tasks, j->spec.job_class, j->spec.image, j->spec.image_gb,
+                      j->within_guarantee ? ", within the guarantee" : "");
         if (record.cancelled) maybe_finish(*j, now);
         return;
     }
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -142,6 +142,7 @@
         for (Machine* m : roster_.all()) {
             if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
             if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until) continue;
+            if (now < m->closed_until) continue;
             if (!placing::covers(m->cpus_free, m->gpus_free, m->memory_free, need)) continue;
             if (j.spec.one_zone && only_zone != kNone && m->zone != only_zone) continue;
             if (j.spec.spread && in_zone[m->zone] >= half) continue;
@@ -266,6 +267,7 @@
         double cost;
     };
     std::vector<Plan> plans;
+    const Millis boot = types_.empty() ? 0 : seconds(types_.front().boot_s);
     Index fixed_zone = kNone;
     for (const auto& a : j.attempts) {
         if (Machine* m = machine_of(*a); m != nullptr && a->live()) fixed_zone = m->zone;
@@ -298,6 +300,8 @@
                 continue;
             }
             if (!may_evict(*a, j)) continue;
+            // Ending a gang throws more away than a wait for the next machine costs.
+            if (v.gang() && (j.starved_since == 0 || now - j.starved_since < boot)) continue;
             double lost = v.gang() ? 40.0 * v.spec.tasks : 0;
             double run_s = a->running_since == 0 ? 0 : static_cast<double>(now - a->running_since) / 1000.0;
             lost += v.spec.checkpoint_s > 0 ? v.spec.save_s + 2 : run_s;
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 
 #include "dispatch/dispatcher.h"
 
@@ -14,6 +15,11 @@
 constexpr Millis kMostBlock = 20'000;
 constexpr std::uint32_t kMostHire = 50;   // the cloud's own limit a request
 constexpr std::size_t kMostReturn = 100;  // likewise
+constexpr double kSpareShare = 2.5;       // of what arrives within a boot time
+constexpr double kIdleSurplus = 10;       // seconds
+constexpr Millis kSettled = 31'000;       // replicas that have run so long may be moved
+constexpr Millis kClosed = 30'000;        // a machine that is being emptied takes nothing new
+constexpr Millis kConsolidateEvery = 3'000;
 constexpr double kLate = 1.7;             // boots beyond this many boot times no longer count
 constexpr double kHopeless = 4.0;           // and beyond this they are given back
 }  // namespace
@@ -236,10 +242,92 @@
     }
 }
 
-// An idle machine stays as long as hiring it anew would cost about as much as keeping it.
+// Does a task of it take most of a machine, and wait for nobody?
+bool Dispatcher::whole(const Job& j) const {
+    if (j.spec.shape == wire::Shape::array) return false;
+    for (Index t = 0; t < types_.size() && t < j.allowed_type.size(); ++t) {
+        const wire::MachineType& type = types_[t];
+        if (j.allowed_type[t] == 0) continue;
+        if (j.spec.cpus * 2 <= type.cpus && j.spec.gpus * 2 <= type.gpus) return false;
+    }
+    return true;
+}
+
+// Machines that a gang could have within seconds: empty, or with nothing but arrays on them.
+void Dispatcher::count_spare(Millis now) {
+    double boot_s = 60;
+    if (!types_.empty()) boot_s = types_.front().boot_s;
+    spare_wanted_ = static_cast<std::size_t>(std::ceil(whole_arrivals_.within(boot_s * kSpareShare, now)));
+    spare_ = 0;
+    for (Machine* m : roster_.all()) {
+        if (!m->usable() || m->spot) continue;
+        spare_ += std::all_of(m->attempts.begin(), m->attempts.end(), [&](const Attempt* a) {
+            return !a->live() || job_of(*a).spec.shape == wire::Shape::array;
+        }) ? 1 : 0;
+    }
+}
+
+// A spot machine is cheap to keep. An ordinary one stays while it may be needed before another boots.
 Millis Dispatcher::idle_keep(const Machine& m) const {
     double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
-    return seconds(m.spot ? boot : 1.2 * boot);
+    if (m.spot) return seconds(boot);
+    return spare_ > spare_wanted_ ? seconds(kIdleSurplus) : seconds(20 * boot);
+}
+
+// Can all replicas on this machine go on elsewhere at once? Then they do: with the image there, a
+// move takes no longer than a few messages.
+bool Dispatcher::move_replicas(Machine& from, Millis now) {
+    std::vector<std::pair<Attempt*, Machine*>> moves;
+    std::map<Machine*, Need> taken;
+    for (Attempt* a : from.attempts) {
+        if (!a->live()) continue;
+        Job& j = job_of(*a);
+        if (!j.service() || a->state != AttemptState::running || a->must_go) return false;
+        if (now - a->running_since < kSettled || j.spec.one_zone) return false;
+        Machine* best = nullptr;
+        for (Machine* m : roster_.all()) {
+            if (m == &from || !m->usable() || !allowed(j, *m) || m->empty()) continue;
+            if (now < m->probation_until || m->reserved_for != kNone) continue;
+            if (j.spec.spread && j.spec.tasks > 1 && m->zone != from.zone) continue;
+            if (m->gpus_free > from.gpus_free + placing::kSlack) continue;  // only to fuller ones
+            Need& t = taken[m];
+            if (!placing::covers(m->cpus_free - t.cpus, m->gpus_free - t.gpus, m->memory_free - t.memory_gb,
+                                 placing::need_of(j))) {
+                continue;
+            }
+            if (placing::fetch_wait_s(j, *m, types_[m->type]) > 0) continue;
+            if (best == nullptr || m->gpus_free < best->gpus_free) best = m;
+        }
+        if (best == nullptr) return false;
+        taken[best].cpus += j.spec.cpus;
+        taken[best].gpus += j.spec.gpus;
+        taken[best].memory_gb += j.spec.memory_gb;
+        moves.push_back({a, best});
+    }
+    if (moves.empty()) return false;
+    spdlog::info("moving {} replicas away from {}", moves.size(), from.name);
+    from.closed_until = now + kClosed;
+    for (auto& [a, m] : moves) want_gone(*a, 0, now);
+    return true;
+}
+
+// Replicas that are spread thinly keep whole machines from gangs and from the cloud.
+void Dispatcher::consolidate(Millis now) {
+    if (now < next_consolidation_ || !confirmed_) return;
+    next_consolidation_ = now + kConsolidateEvery;
+    for (auto& [id, j] : jobs_) {
+        if (j->service() && j->unstarted() > 0) return;
+    }
+    std::vector<Machine*> list;
+    for (Machine* m : roster_.all()) {
+        if (m->usable() && !m->empty() && m->reserved_for == kNone) list.push_back(m);
+    }
+    std::sort(list.begin(), list.end(), [](const Machine* a, const Machine* b) {
+        return std::tie(a->gpus_free, a->cpus_free) > std::tie(b->gpus_free, b->cpus_free);
+    });
+    for (Machine* m : list) {
+        if (move_replicas(*m, now)) return;  // one at a time
+    }
 }
 
 bool Dispatcher::cut_off(Millis now) const {
@@ -340,7 +428,9 @@
 
 void Dispatcher::tick(Millis now) {
     if (!started_ || deposed_) return;
+    count_spare(now);
     watch_machines(now);
+    consolidate(now);
     commit_blocks(now);
     drop_leftovers(now);
     for (auto& [id, j] : jobs_) {
--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -130,6 +130,7 @@
     state_.commit(txn, state::Urgency::user, kSubmitWait,
                   [this, id, responder](const state::CommitReply& r) {
                       --open_;
+                      spdlog::debug("submission of {}: {}", id, state::name(r.outcome));
                       if (r.outcome == state::Outcome::ok) {
                           responder.send(ok(201, wire::job_answer(id, JobStatus::pending)));
                       } else if (r.outcome == state::Outcome::conflict) {
--- a/src/placing/placer.cpp
+++ b/src/placing/placer.cpp
@@ -16,16 +16,18 @@
     return k;
 }
 
-double cost(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type) {
+double fetch_wait_s(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type) {
     double fetch = j.spec.image_gb / std::max(0.01, type.fetch_gb_per_s);
-    double total = fetch;
     int fetching = 0;
     for (const workers::CachedImage& c : m.images) {
+        if (c.image == j.image) return c.present ? 0 : fetch * 0.6;
         if (!c.present) ++fetching;
-        if (c.image != j.image) continue;
-        total = c.present ? 0 : fetch * 0.6;
     }
-    if (total >= fetch && fetch > 0) total += fetch * 0.5 * fetching;  // fetches share the rate
+    return fetch * (1.0 + 0.5 * fetching);  // fetches share the rate
+}
+
+double cost(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type) {
+    double total = fetch_wait_s(j, m, type);
     // Fill machines that are nearly full first: whole ones stay free for gangs and for the cloud.
     double left = type.gpus > 0 ? (m.gpus_free - j.spec.gpus) / type.gpus
                                 : (m.cpus_free - j.spec.cpus) / std::max(1.0, type.cpus);
--- a/src/placing/placer.h
+++ b/src/placing/placer.h
@@ -25,6 +25,9 @@
 std::uint32_t how_many(double cpus, double gpus, double memory_gb, const Need& n,
                        std::uint32_t limit);
 
+// About how long a task waits there for its image.
+double fetch_wait_s(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type);
+
 // Lower is better: about the seconds lost by putting the task here rather than on an ideal machine.
 double cost(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type);
 
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -44,6 +44,19 @@
 }
 }  // namespace
 
+const char* name(Outcome o) {
+    switch (o) {
+        case Outcome::ok: return "ok";
+        case Outcome::conflict: return "conflict";
+        case Outcome::missing: return "missing";
+        case Outcome::expired: return "expired";
+        case Outcome::refused: return "refused";
+        case Outcome::unknown: return "unknown";
+        case Outcome::broken: return "broken";
+    }
+    return "?";
+}
+
 Outcome outcome_of(const net::Reply& r) {
     if (r.outcome == net::Reply::Outcome::refused) return Outcome::refused;
     if (r.outcome == net::Reply::Outcome::unknown) return Outcome::unknown;
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -25,6 +25,8 @@
     broken,    // an answer that breaks the protocol
 };
 
+const char* name(Outcome o);
+
 struct Item {
     std::string key;
     Json value;
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -54,6 +54,7 @@
 
     Index reserved_for = kNone;  // job that room is being made for
     Millis reserved_until = 0;
+    Millis closed_until = 0;  // being emptied
 
     // Sickness: jobs that failed here since a task last completed.
     std::vector<Index> failed_jobs;
