--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <random>
 
 #include "net/address.h"
@@ -16,6 +17,12 @@
 constexpr Millis kCommit = 2500;
 constexpr Millis kTypesEvery = 30'000;
 constexpr Millis kTypesRetry = 2'000;
+constexpr std::uint32_t kShare = 2;  // machines lent to each other controller
+constexpr Millis kTellEvery = 1000;
+constexpr Millis kPeerFresh = 2'500;
+constexpr Millis kRefusedFor = 1'500;   // a node refused for so long says so
+constexpr Millis kAfterLease = 10'000;  // a block's workers are answered so long after its lease
+constexpr std::size_t kMostShown = 1000;
 constexpr Millis kPruneEvery = 10'000;
 constexpr Millis kRest = 20'000;  // after handing over
 constexpr const char* kTypesKey = "fleet/types";
@@ -42,11 +49,16 @@
       desk_(settings, state_,
             {[this] { return wall_ms(); },
              [this](const std::string& id, std::uint64_t& done, std::uint64_t& running) {
-                 if (!dispatcher_) return false;
-                 auto p = dispatcher_->progress(id);
-                 done = p.done;
-                 running = p.running;
-                 return p.known;
+                 if (dispatcher_) {
+                     auto p = dispatcher_->progress(id);
+                     done = p.done;
+                     running = p.running;
+                     return p.known;
+                 }
+                 auto it = shown_.find(id);
+                 if (it == shown_.end()) return false;
+                 std::tie(done, running) = it->second;
+                 return true;
              }}),
       election_(loop, state_, settings.name, seed_of(settings.name),
                 {[this](std::uint64_t term, std::uint64_t version) { elected(term, version); },
@@ -70,11 +82,22 @@
                        workers_.clear();
                        if (book_ == Book::closing) set_book(Book::idle);
                    }),
-      watch_timer_(loop, [this] { watch_open(); }) {}
+      watch_timer_(loop, [this] { watch_open(); }),
+      leader_box_(*this, [this](const std::string& why) { election_.step_down(why, 0); }),
+      holder_box_(*this, [this](const std::string& why) { end_holding(why); }),
+      mesh_(loop, settings.peers,
+            {[this](const peers::Status& s) { heard(s); }, [this](const peers::Grant& g) { granted(g); },
+             [this](const peers::News& n) {
+                 if (book_ == Book::running) dispatcher_->on_news(n, now());
+             }}),
+      drop_timer_(loop, [this] { dropped_.clear(); }),
+      incarnation_(seed_of(settings.name) | 1) {}
 
 int Node::start() {
     int rc = server_.listen(*net::parse_address(settings_.listen));
     if (rc < 0) return rc;
+    rc = mesh_.listen(*net::parse_address(settings_.peer_listen));
+    if (rc < 0) return rc;
     election_.start();
     tick_timer_.every(kTick);
     state_.get(kTypesKey, state::Urgency::control, 2000, [this](const state::GetReply& r) {
@@ -95,7 +118,24 @@
     return tv.tv_sec * 1000 + tv.tv_usec / 1000;
 }
 
-bool Node::ready() const { return desk_.has_types(); }
+// Able to take requests. In an outage of the state service that everybody has, all stay ready: users
+// are told to come back, and no health check has to recover afterwards. A node that alone is refused
+// steps aside.
+bool Node::ready() const {
+    if (!desk_.has_types()) return false;
+    return state_served() || !peers_served();
+}
+
+bool Node::state_served() const {
+    return state_.last_refusal() < 0 || state_.last_answer() >= state_.last_refusal() ||
+           now() - state_.last_answer() < kRefusedFor;
+}
+
+bool Node::peers_served() const {
+    return std::any_of(peer_news_.begin(), peer_news_.end(), [this](const auto& p) {
+        return p.second.served && now() - p.second.heard_at < kPeerFresh;
+    });
+}
 
 void Node::handle(const net::Request& request, net::Responder responder) {
     if (request.path == "/checkin") {
@@ -121,7 +161,7 @@
             responder.send({421, wire::redirect(leader), 0, "application/cbor"});
         }
     };
-    if (book_ != Book::running) {
+    if (book_ != Book::running && !holding_) {
         redirect();
         return;
     }
@@ -131,16 +171,26 @@
         responder.send({400, "", 0, "application/cbor"});
         return;
     }
+    bool holds = holding_ && std::any_of(grant_.machines.begin(), grant_.machines.end(),
+                                         [&](const auto& m) { return m.name == report->machine; });
+    if (book_ != Book::running && !holds) {
+        redirect();
+        return;
+    }
+    auto* book = holds ? holding_.get() : dispatcher_.get();
     // Whoever cannot know of a cancellation must let the leases run out in time.
-    if (now() - view_fresh_ > dispatch::answer_bound(settings_)) {
+    Millis fresh = holds ? grant_view_fresh_ : view_fresh_;
+    if (now() - fresh > dispatch::answer_bound(settings_)) {
         responder.send({503, "", 1, "application/cbor"});
         return;
     }
-    auto answer = dispatcher_->on_checkin(*report, now());
+    auto answer = book->on_checkin(*report, now());
     if (answer.status == 200) {
         responder.send({200, wire::report_answer(answer.token, answer.commands), 0, "application/cbor"});
+    } else if (answer.status == 421 && !answer.holder.empty()) {
+        responder.send({421, wire::redirect(answer.holder), 0, "application/cbor"});
     } else if (answer.status == 421) {
-        responder.send({421, wire::redirect(""), 0, "application/cbor"});
+        redirect();
     } else {
         responder.send({answer.status, "", 0, "application/cbor"});
     }
@@ -153,6 +203,7 @@
     term_ = term;
     term_version_ = version;
     close_timer_.stop();
+    end_holding("this node leads");
     dispatcher_.reset();
     workers_.clear();
     set_book(Book::loading);
@@ -181,7 +232,7 @@
                             if (block.outcome != state::Outcome::ok) return load_failed();
                             open_revision_ = open.revision;
                             view_fresh_ = began;
-                            dispatch::Outbox& outbox = *this;
+                            dispatch::Outbox& outbox = leader_box_;
                             dispatcher_ = std::make_unique<dispatch::Dispatcher>(
                                 settings_,
                                 dispatch::TermInfo{term_, leadership::kTermKey, term_version_}, outbox,
@@ -221,6 +272,7 @@
 
 void Node::loaded() {
     set_book(Book::running);
+    dispatcher_->set_share(kShare);
     dispatcher_->set_confirmed(election_.state() == leadership::State::leading);
     dispatcher_->start(now());
     watch_open();
@@ -236,8 +288,6 @@
     close_timer_.after(0);
 }
 
-void Node::deposed(const std::string& why) { election_.step_down(why, 0); }
-
 void Node::watch_open() {
     if (book_ != Book::running) return;
     auto g = generation_;
@@ -269,17 +319,28 @@
         view_fresh_ = std::max(view_fresh_, sent);
         open_revision_ = std::max(open_revision_, r.revision);
         for (const auto& i : r.items) {
-            if (i.deleted) continue;
+            if (i.deleted) {
+                dispatcher_->on_open_dropped(jobs::id_of_open_key(i.key), now());
+                continue;
+            }
             if (auto rec = jobs::read_open(i.value)) {
                 dispatcher_->on_open_record(*rec, i.version, wall_ms(), now());
             }
         }
-        if (!r.items.empty()) dispatcher_->tick(now());
+        if (!r.items.empty()) {
+            dispatcher_->tick(now());
+            if (book_ == Book::running) send_grants();  // cancellations travel at once
+        }
         watch_open();
     });
 }
 
 void Node::tick() {
+    if (now() >= tell_at_) {
+        tell_at_ = now() + kTellEvery;
+        tell_peers();
+    }
+    check_holding();
     if (book_ != Book::running) return;
     dispatcher_->tick(now());
     if (dispatcher_->cut_off(now())) {
@@ -297,8 +358,141 @@
         prune_at_ = now() + kPruneEvery;
         std::unordered_map<std::string, bool> alive;
         for (const auto* m : dispatcher_->roster().all()) alive[m->name] = true;
+        for (const auto& m : grant_.machines) alive[m.name] = true;
         std::erase_if(workers_, [&](const auto& w) { return alive.count(w.first) == 0; });
     }
+    if (!state_served() && peers_served() && election_.state() == leadership::State::doubting) {
+        election_.step_down("the state service refuses this node alone", kRest);
+    }
+}
+
+// --- the back channel -----------------------------------------------------------------------------
+
+void Node::heard(const peers::Status& s) {
+    peer_news_[s.from] = {now(), s.state_ok != 0};
+    if (book_ == Book::running) {
+        dispatcher_->peer_heard(s, now());
+        shown_.clear();
+    } else if (s.term != 0) {
+        shown_.clear();
+        for (const auto& p : s.progress) shown_[p.id] = {p.done, p.running};
+    }
+}
+
+void Node::tell_peers() {
+    peers::Status s;
+    s.from = settings_.name;
+    s.incarnation = incarnation_;
+    s.clock_ms = static_cast<std::uint64_t>(now());
+    s.term = book_ == Book::running ? term_ : 0;
+    s.state_ok = state_served() ? 1 : 0;
+    if (book_ == Book::running) {
+        for (const auto& [id, j] : dispatcher_->open_jobs()) {
+            if (s.progress.size() >= kMostShown) break;
+            auto p = dispatcher_->progress(id);
+            if (p.done + p.running > 0) s.progress.push_back({id, p.done, p.running});
+        }
+    }
+    mesh_.send_all(peers::encode(s));
+    if (book_ == Book::running) send_grants();
+    if (!holding_) return;
+    peers::News news;
+    news.from = settings_.name;
+    news.term = grant_.term;
+    news.token = grant_.token;
+    for (const auto& [id, loaded] : lent_) {
+        if (!loaded) continue;
+        auto p = holding_->progress(id);
+        news.jobs.push_back({id, p.done, p.running, p.known ? 0u : 1u});
+    }
+    news.troubled = holding_->troubled();
+    mesh_.send(grant_.from, peers::encode(news));
+}
+
+void Node::send_grants() {
+    for (const auto& [peer, g] : dispatcher_->grants(view_fresh_, now())) mesh_.send(peer, peers::encode(g));
+}
+
+// The lease runs from when this node sent the status that the grant answers.
+void Node::granted(const peers::Grant& g) {
+    Millis asked = static_cast<Millis>(g.asked_ms);
+    if (asked > now() || g.term < grant_.term || (g.term == grant_.term && g.token < grant_.token)) {
+        return;  // out of order
+    }
+    if (g.incarnation != incarnation_ || g.token == ended_token_) {
+        return;  // for the process before this one, or for a block that was let go
+    }
+    Millis until = asked + shorter(static_cast<Millis>(g.lease_ms));
+    if (until <= now() || book_ == Book::running) return;
+    if (!holding_ || g.token != grant_.token) {
+        if (holding_) end_holding("another block is granted");
+        spdlog::info("holding block {} of {} machines for {}", g.block, g.machines.size(), g.from);
+        grant_ = g;
+        holding_ = std::make_unique<dispatch::Dispatcher>(
+            settings_, dispatch::TermInfo{g.term, leadership::kTermKey, g.term_version}, holder_box_, now(),
+            dispatch::Role::holder);
+        holding_->load_types(types_);
+        holding_->hold(g, now());
+    }
+    lease_until_ = std::max(lease_until_, until);
+    grant_view_fresh_ = std::max(grant_view_fresh_, asked - static_cast<Millis>(g.view_age_ms));
+    holding_->set_confirmed(true);
+    for (const auto& job : g.jobs) {
+        if (job.cancelled != 0) holding_->cancel_lent(job.id, now());
+        if (lent_.count(job.id) != 0) continue;
+        lent_[job.id] = false;
+        fetch_lent(job.id);
+    }
+}
+
+void Node::fetch_lent(const std::string& id) {
+    auto token = grant_.token;
+    auto valid = [this, token, id] { return holding_ && grant_.token == token && lent_.count(id) != 0; };
+    state_.get(jobs::open_key(id), state::Urgency::work, kCommit, [this, id, valid](const state::GetReply& open) {
+        if (!valid()) return;
+        if (open.outcome == state::Outcome::missing) {
+            lent_[id] = true;  // over already
+            return;
+        }
+        auto record = open.outcome == state::Outcome::ok ? jobs::read_open(open.item.value) : std::nullopt;
+        if (!record) {
+            lent_.erase(id);  // the next grant names it again
+            return;
+        }
+        state_.list("run/" + id + "/", state::Urgency::work,
+                    [this, id, valid, record, version = open.item.version](const state::ListReply& runs) {
+                        if (!valid()) return;
+                        if (runs.outcome != state::Outcome::ok) {
+                            lent_.erase(id);
+                            return;
+                        }
+                        lent_[id] = true;
+                        holding_->lent_job(*record, version, runs, wall_ms(), now());
+                    });
+    });
+}
+
+void Node::check_holding() {
+    if (!holding_) return;
+    if (now() >= lease_until_) {
+        holding_->set_confirmed(false);  // nothing new; what runs is looked after a little longer
+        if (now() - lease_until_ > kAfterLease) {
+            end_holding("the lease has ended");
+            return;
+        }
+    }
+    holding_->tick(now());
+}
+
+void Node::end_holding(const std::string& why) {
+    if (!holding_) return;
+    ended_token_ = grant_.token;
+    spdlog::info("block {} is not held any more: {}", grant_.block, why);
+    // Not at once: the book may be in the middle of something.
+    dropped_.push_back(std::move(holding_));
+    drop_timer_.after(0);
+    lent_.clear();
+    lease_until_ = 0;
 }
 
 // --- cloud ----------------------------------------------------------------------------------------
@@ -344,31 +538,37 @@
 
 // --- outbox ---------------------------------------------------------------------------------------
 
-void Node::commit(state::Txn txn, std::function<void(Millis, const state::CommitReply&)> done) {
-    state_.commit(txn, state::Urgency::work, kCommit,
-                  [this, done = std::move(done)](const state::CommitReply& r) { done(now(), r); });
+void Node::Box::commit(state::Txn txn, std::function<void(Millis, const state::CommitReply&)> done) {
+    node_.state_.commit(txn, state::Urgency::work, kCommit,
+                  [&n = node_, done = std::move(done)](const state::CommitReply& r) { done(n.now(), r); });
+}
+
+void Node::Box::read(const std::string& key, std::function<void(Millis, const state::GetReply&)> done) {
+    node_.state_.get(key, state::Urgency::work, kCommit,
+               [&n = node_, done = std::move(done)](const state::GetReply& r) { done(n.now(), r); });
 }
 
-void Node::read(const std::string& key, std::function<void(Millis, const state::GetReply&)> done) {
-    state_.get(key, state::Urgency::work, kCommit,
-               [this, done = std::move(done)](const state::GetReply& r) { done(now(), r); });
+void Node::Box::list(const std::string& prefix,
+                     std::function<void(Millis, const state::ListReply&)> done) {
+    node_.state_.list(prefix, state::Urgency::work,
+                      [&n = node_, done = std::move(done)](const state::ListReply& r) { done(n.now(), r); });
 }
 
-void Node::direct(const std::string& machine, const std::string& address, std::uint64_t token,
+void Node::Box::direct(const std::string& machine, const std::string& address, std::uint64_t token,
                   std::uint64_t session, const std::vector<wire::Command>& commands,
                   std::function<void(Millis, const dispatch::DirectReply&)> done) {
-    auto& client = workers_[machine];
+    auto& client = node_.workers_[machine];
     if (!client) {
         auto parsed = net::parse_address(address);
         if (!parsed) {
             spdlog::error("machine {} has no usable address: {}", machine, address);
-            workers_.erase(machine);
+            node_.workers_.erase(machine);
             return;  // stays in flight: nothing can be sent to it
         }
-        client = std::make_unique<net::HttpClient>(loop_, *parsed, address, 1, 4);
+        client = std::make_unique<net::HttpClient>(node_.loop_, *parsed, address, 1, 4);
     }
     client->request("POST", "/commands", wire::direct_commands(token, session, commands), kDirect,
-                    [this, done = std::move(done)](const net::Reply& r) {
+                    [&n = node_, done = std::move(done)](const net::Reply& r) {
                         dispatch::DirectReply out;
                         if (r.outcome == net::Reply::Outcome::refused) {
                             out.delivery = dispatch::Delivery::refused;
@@ -379,18 +579,18 @@
                             if (out.report) out.delivery = dispatch::Delivery::answered;
                             out.executed = r.status == 200;
                         }
-                        done(now(), out);
+                        done(n.now(), out);
                     });
 }
 
-void Node::hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+void Node::Box::hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
                 std::uint32_t count, std::function<void(Millis, const dispatch::HireReply&)> done) {
-    cloud_.hire(request, type, zone, spot, count,
-                [this, done = std::move(done)](const dispatch::HireReply& r) { done(now(), r); });
+    node_.cloud_.hire(request, type, zone, spot, count,
+                [&n = node_, done = std::move(done)](const dispatch::HireReply& r) { done(n.now(), r); });
 }
 
-void Node::give_back(const std::vector<std::string>& machines, std::function<void(Millis, bool)> done) {
-    cloud_.give_back(machines, [this, done = std::move(done)](bool ok) { done(now(), ok); });
+void Node::Box::give_back(const std::vector<std::string>& machines, std::function<void(Millis, bool)> done) {
+    node_.cloud_.give_back(machines, [&n = node_, done = std::move(done)](bool ok) { done(n.now(), ok); });
 }
 
 }  // namespace nickelramp::app
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -2,6 +2,7 @@
 #pragma once
 #include <uv.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -11,12 +12,13 @@
 #include "jobs/desk.h"
 #include "leadership/term.h"
 #include "net/http_server.h"
+#include "peers/mesh.h"
 #include "state/client.h"
 #include "wire/settings.h"
 
 namespace nickelramp::app {
 
-class Node : private dispatch::Outbox {
+class Node {
   public:
     Node(uv_loop_t* loop, const wire::Settings& settings);
 
@@ -47,20 +49,42 @@
     void remember_types();
     void got_types(const std::vector<wire::MachineType>& types, bool from_cloud);
 
-    // Outbox
-    void commit(state::Txn txn, std::function<void(Millis, const state::CommitReply&)> done) override;
-    void read(const std::string& key,
-              std::function<void(Millis, const state::GetReply&)> done) override;
-    void direct(const std::string& machine, const std::string& address, std::uint64_t token,
-                std::uint64_t session, const std::vector<wire::Command>& commands,
-                std::function<void(Millis, const dispatch::DirectReply&)> done) override;
-    void hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
-              std::uint32_t count,
-              std::function<void(Millis, const dispatch::HireReply&)> done) override;
-    void give_back(const std::vector<std::string>& machines,
-                   std::function<void(Millis, bool)> done) override;
-    void deposed(const std::string& why) override;
+    // The back channel, and what this node holds for the leader.
+    void heard(const peers::Status& status);
+    void granted(const peers::Grant& grant);
+    void tell_peers();
+    void check_holding();
+    void end_holding(const std::string& why);
+    bool peers_served() const;
+    bool state_served() const;
+    void send_grants();
+    void fetch_lent(const std::string& id);
 
+    // What books ask for; both kinds of book share it.
+    class Box : public dispatch::Outbox {
+      public:
+        Box(Node& node, std::function<void(const std::string&)> deposed)
+            : node_(node), deposed_(std::move(deposed)) {}
+        void commit(state::Txn txn,
+                    std::function<void(Millis, const state::CommitReply&)> done) override;
+        void read(const std::string& key,
+                  std::function<void(Millis, const state::GetReply&)> done) override;
+        void list(const std::string& prefix,
+                  std::function<void(Millis, const state::ListReply&)> done) override;
+        void direct(const std::string& machine, const std::string& address, std::uint64_t token,
+                    std::uint64_t session, const std::vector<wire::Command>& commands,
+                    std::function<void(Millis, const dispatch::DirectReply&)> done) override;
+        void hire(const std::string& request, const std::string& type, const std::string& zone,
+                  bool spot, std::uint32_t count,
+                  std::function<void(Millis, const dispatch::HireReply&)> done) override;
+        void give_back(const std::vector<std::string>& machines,
+                       std::function<void(Millis, bool)> done) override;
+        void deposed(const std::string& why) override { deposed_(why); }
+
+      private:
+        Node& node_;
+        std::function<void(const std::string&)> deposed_;
+    };
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
     std::int64_t wall_ms() const;
 
@@ -83,6 +107,25 @@
     std::uint64_t open_revision_ = 0;
     Millis view_fresh_ = 0;  // every cancellation up to then is known
     Millis blind_since_ = 0;
+    Box leader_box_, holder_box_;
+    peers::Mesh mesh_;
+    struct PeerNews {
+        Millis heard_at = 0;
+        bool served = false;  // by the state service
+    };
+    std::map<std::string, PeerNews> peer_news_;
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> shown_;  // done, running: for display
+    Millis tell_at_ = 0;
+    // What this node holds: none of it, or a block until its lease ends.
+    std::unique_ptr<dispatch::Dispatcher> holding_;
+    peers::Grant grant_;
+    std::uint64_t ended_token_ = 0;
+    Millis lease_until_ = 0;
+    Millis grant_view_fresh_ = 0;
+    std::map<std::string, bool> lent_;  // job: loaded
+    net::Timer drop_timer_;
+    std::vector<std::unique_ptr<dispatch::Dispatcher>> dropped_;
+    std::uint64_t incarnation_;
     std::unordered_map<std::string, std::unique_ptr<net::HttpClient>> workers_;
     Millis prune_at_ = 0;
 };
--- a/src/blocks/ledger.cpp
+++ b/src/blocks/ledger.cpp
@@ -58,8 +58,8 @@
 
 void Ledger::add(const Member& m) {
     if (home_.count(m.name) != 0) return;
-    auto open = std::find_if(blocks_.begin(), blocks_.end(), [](const auto& b) {
-        return b.second.members.size() < kBlockMachines;
+    auto open = std::find_if(blocks_.begin(), blocks_.end(), [this](const auto& b) {
+        return b.second.members.size() < kBlockMachines && b.second.holder == holder_;
     });
     if (open == blocks_.end()) {
         std::uint32_t n = blocks_.empty() ? 0 : blocks_.rbegin()->first + 1;
@@ -81,6 +81,31 @@
     home_.erase(it);
 }
 
+std::uint32_t Ledger::lend(const std::vector<std::string>& names, const std::string& holder) {
+    std::uint32_t n = blocks_.empty() ? 0 : blocks_.rbegin()->first + 1;
+    Block& b = blocks_[n];
+    b.holder = holder;
+    b.token = grant_token(term_, ++grants_);
+    b.dirty = true;
+    for (const std::string& name : names) {
+        Block& old = blocks_[home_.at(name)];
+        auto it = std::find_if(old.members.begin(), old.members.end(),
+                               [&](const Member& m) { return m.name == name; });
+        b.members.push_back(*it);
+        old.members.erase(it);
+        old.dirty = true;
+        home_[name] = n;
+    }
+    return n;
+}
+
+void Ledger::take_back(std::uint32_t n) {
+    Block& b = blocks_[n];
+    b.holder = holder_;
+    b.token = grant_token(term_, ++grants_);
+    b.dirty = true;
+}
+
 std::uint64_t Ledger::token_of(const std::string& name) const {
     auto it = home_.find(name);
     return it == home_.end() ? 0 : blocks_.at(it->second).token;
--- a/src/blocks/ledger.h
+++ b/src/blocks/ledger.h
@@ -52,6 +52,10 @@
 
     void add(const Member& m);
     void remove(const std::string& name);
+    // Moves machines into a block of their own for another holder; its number.
+    std::uint32_t lend(const std::vector<std::string>& names, const std::string& holder);
+    // The block is this node's again, under a new token.
+    void take_back(std::uint32_t n);
 
     std::uint64_t token_of(const std::string& name) const;  // 0: in no block
 
--- a/src/dispatch/checkpoint.cpp
+++ b/src/dispatch/checkpoint.cpp
@@ -16,7 +16,7 @@
 
 bool Dispatcher::needs_commit(const Job& j, Millis now) const {
     if (j.commit_in_flight || now < j.retry_commit_at || j.state == JobState::finished) return false;
-    if (j.state != JobState::open) return false;  // its last transaction says it all
+    if (j.state != JobState::open || j.lent_to != kNone) return false;  // its last transaction says it all
     for (const auto& a : j.attempts) {
         if (a->state == AttemptState::recording && a->in_commit == 0) return true;
     }
@@ -27,7 +27,8 @@
 // the job is as known (no start after a cancel) and that no late write has touched the records.
 void Dispatcher::commit_job(Job& j, Millis now) {
     state::Txn txn;
-    txn.conditions = {term_condition(), {jobs::open_key(j.spec.id), j.version}};
+    txn.conditions = conditions();
+    txn.conditions.push_back({jobs::open_key(j.spec.id), j.version});
     std::vector<std::uint32_t> written;
     std::uint64_t serial = ++j.commits;
     for (auto& [n, c] : j.chunks) {
@@ -109,16 +110,10 @@
         // It may have been applied, or may be later: the next write must know what it builds on.
         for (std::uint32_t n : chunks) j.chunks[n].uncertain = true;
     } else if (reply.outcome == state::Outcome::conflict) {
+        if (superseded(reply)) return;
         for (const std::string& key : reply.failed) {
             std::string run_id;
             std::uint32_t n = 0;
-            if (key == term_.key) {
-                if (!deposed_) {
-                    deposed_ = true;
-                    outbox_.deposed("another term has begun");
-                }
-                return;
-            }
             if (jobs::parse_run_key(key, run_id, n)) j.chunks[n].uncertain = true;
         }
         // A changed description arrives with the watch; until then the retry finds the same.
@@ -155,7 +150,7 @@
 void Dispatcher::commit_blocks(Millis now) {
     if (blocks_in_flight_ || !confirmed_ || now < retry_blocks_at_ || !ledger_.dirty()) return;
     state::Txn txn;
-    txn.conditions = {term_condition()};
+    txn.conditions = conditions();
     auto numbers = ledger_.to_write(settings_.state_txn_ops / 2);
     std::vector<std::string> members;
     for (std::uint32_t n : numbers) {
@@ -193,6 +188,7 @@
                 m->granted = true;
                 join(*m, t);
             }
+            for (std::uint32_t n : numbers) block_committed(n, t);
             flush_poked(t);
             commit_blocks(t);
             if (dirty_ && t >= next_pass_) schedule(t);
@@ -204,12 +200,7 @@
             if (reply.outcome != state::Outcome::refused) b.uncertain = true;
         }
         retry_blocks_at_ = t + kRetry;
-        if (reply.outcome == state::Outcome::conflict &&
-            std::find(reply.failed.begin(), reply.failed.end(), term_.key) != reply.failed.end() &&
-            !deposed_) {
-            deposed_ = true;
-            outbox_.deposed("another term has begun");
-        }
+        if (reply.outcome == state::Outcome::conflict) superseded(reply);
     }));
 }
 
@@ -217,7 +208,7 @@
 void Dispatcher::drop_leftovers(Millis now) {
     if (leftovers_.empty() || !confirmed_ || now < retry_blocks_at_) return;
     state::Txn txn;
-    txn.conditions = {term_condition()};
+    txn.conditions = conditions();
     while (!leftovers_.empty() && txn.writes.size() < settings_.state_txn_ops / 2) {
         txn.writes.push_back({leftovers_.back(), std::nullopt});
         leftovers_.pop_back();
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -64,7 +64,7 @@
 
 void Dispatcher::flush(Machine& m, Millis now) {
     if (m.direct_in_flight || now < m.retry_direct_at || m.address.empty()) return;
-    if (m.state == MachineState::booting || m.state == MachineState::gone || m.token == 0) return;
+    if (m.state == MachineState::booting || m.state == MachineState::lent || m.token == 0) return;
     std::vector<Command> commands;
     for (Attempt* a : m.attempts) {
         if (commands.size() >= kBatch) break;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include "dispatch/outbox.h"
 #include "fleet/forecast.h"
 #include "jobs/job.h"
+#include "peers/messages.h"
 #include "placing/placer.h"
 #include "wire/settings.h"
 #include "workers/roster.h"
@@ -27,12 +28,16 @@
     std::uint64_t version = 0;    // its stamp while this term lasts
 };
 
+// The leader's book has everything; a holder's only a block of machines and the jobs lent with it.
+enum class Role { leader, holder };
+
 // How long a node that cannot reach the state service may go on answering workers: a cancellation
 // that it cannot know of must still be over within cancel_s.
 Millis answer_bound(const wire::Settings& s);
 
 struct CheckinAnswer {
     int status = 200;  // 200, 421, 503
+    std::string holder;  // with 421: who answers for the machine
     std::uint64_t token = 0;
     std::vector<wire::Command> commands;
 };
@@ -43,7 +48,8 @@
 
 class Dispatcher {
   public:
-    Dispatcher(const wire::Settings& settings, TermInfo term, Outbox& outbox, Millis now);
+    Dispatcher(const wire::Settings& settings, TermInfo term, Outbox& outbox, Millis now,
+               Role role = Role::leader);
 
     // Recovery, before anything else.
     void load_types(const std::vector<wire::MachineType>& types);
@@ -60,10 +66,28 @@
     // While not confirmed as leader, nothing new is started.
     void set_confirmed(bool confirmed) { confirmed_ = confirmed; }
 
+    // An open record has gone: whoever held the job has finished it.
+    void on_open_dropped(const std::string& id, Millis now);
+
     CheckinAnswer on_checkin(const wire::Report& report, Millis now);
     void on_hosts(const std::vector<wire::Host>& hosts, Millis now);
     void tick(Millis now);
 
+    // Sharing, the leader's side. A peer that can hold machines has been heard of; `clock_ms` is its
+    // own and comes back in the grant, whose lease runs from then.
+    void peer_heard(const peers::Status& status, Millis now);
+    // The grants to send now; each renews a lease.
+    std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
+    void on_news(const peers::News& news, Millis now);
+    void set_share(std::uint32_t machines) { share_ = machines; }
+
+    // Sharing, the holder's side.
+    void hold(const peers::Grant& grant, Millis now);
+    void lent_job(const jobs::OpenRecord& record, std::uint64_t version, const state::ListReply& runs,
+                  std::int64_t wall_ms, Millis now);
+    void cancel_lent(const std::string& id, Millis now);
+    const std::vector<std::string>& troubled() const { return troubled_; }
+
     // What users and operators see.
     struct Progress {
         bool known = false;
@@ -72,7 +96,7 @@
     Progress progress(const std::string& id) const;
     struct Summary {
         std::size_t open_jobs = 0, waiting_tasks = 0, live_attempts = 0;
-        std::size_t machines[6] = {};
+        std::size_t machines[7] = {};
     };
     Summary summary() const;
     // Most machines have fallen silent at once: rather this node's trouble than theirs.
@@ -154,7 +178,8 @@
     void reread_chunk(Job& j, std::uint32_t chunk);
     void commit_blocks(Millis now);
     void drop_leftovers(Millis now);
-    state::Condition term_condition() const { return {term_.key, term_.version}; }
+    std::vector<state::Condition> conditions() const;
+    bool superseded(const state::CommitReply& reply);
 
     // schedule.cpp
     void schedule(Millis now);
@@ -169,6 +194,37 @@
     std::vector<Job*> queue(Millis now);
     jobs::Urgency urgency(const Job& j, Millis now) const;
 
+    // sharing.cpp
+    struct Peer {
+        std::uint64_t incarnation = 0, clock_ms = 0;
+        bool healthy = false;
+        Millis heard_at = 0;
+    };
+    struct Room {
+        Index machine = kNone;
+        double cpus = 0, gpus = 0, memory_gb = 0;
+    };
+    // wanted: its record is being written; granted: leases are sent; ending: no more are sent, and
+    // once the last has run out the block is taken back; reclaimed: its record is being rewritten
+    enum class LeaseState { wanted, granted, ending, reclaimed };
+    struct Lease {
+        std::string holder;
+        std::uint64_t incarnation = 0;
+        LeaseState state = LeaseState::wanted;
+        Millis over_at = 0;    // by then the holder has stopped, by its own clock
+        Millis idle_since = 0;
+        std::vector<Room> room;
+        std::vector<std::string> jobs;
+    };
+    void set_lease_state(std::uint32_t block, Lease& l, LeaseState s);
+    void share_machines(Millis now);
+    bool lend_job(Job& j, Millis now);
+    void check_leases(bool starving, Millis now);
+    void block_committed(std::uint32_t block, Millis now);
+    void take_job_back(Job& j, Millis now);
+    void job_left(Job& j);
+    void complete_load(Job& j, Millis now);
+
     // supply.cpp
     void plan_supply(const std::vector<Job*>& unplaced, Millis now);
     std::uint32_t places_soon_free(Millis now) const;
@@ -198,6 +254,13 @@
     TermInfo term_;
     Outbox& outbox_;
     std::shared_ptr<char> alive_ = std::make_shared<char>();
+    Role role_;
+    state::Condition held_;  // holder: its grant's record
+    std::uint64_t inherited_token_ = 0;  // what was started before used at most this one
+    std::vector<std::string> troubled_;
+    std::map<std::string, Peer> peers_;
+    std::map<std::uint32_t, Lease> leases_;  // by block
+    std::uint32_t share_ = 0;
     bool started_ = false;
     bool confirmed_ = true;
     bool deposed_ = false;
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -18,8 +18,10 @@
     return std::max<Millis>(0, shorter(seconds(s.cancel_s)) - longer(seconds(s.lease_s)) - 1500);
 }
 
-Dispatcher::Dispatcher(const wire::Settings& settings, TermInfo term, Outbox& outbox, Millis now)
-    : settings_(settings), term_(std::move(term)), outbox_(outbox), began_(now) {
+Dispatcher::Dispatcher(const wire::Settings& settings, TermInfo term, Outbox& outbox, Millis now,
+                       Role role)
+    : settings_(settings), term_(std::move(term)), outbox_(outbox), role_(role), began_(now) {
+    inherited_token_ = blocks::term_token(term_.number) - 1;
     for (const wire::Team& t : settings.teams) {
         team_names_.add(t.name);
         team_rules_.push_back(t);
@@ -99,8 +101,8 @@
         a->committed = true;
         a->placed_at = now;
         a->state = AttemptState::starting;
-        // Only a report under a token of this term can show that it is not there.
-        a->token = blocks::term_token(term_.number) - 1;
+        // Only a report under a token given since then can show that it is not there.
+        a->token = inherited_token_;
         a->session = UINT64_MAX;
         link_start(*j, *a);
         occupy(*a, *j, *m);
@@ -110,34 +112,36 @@
 
 void Dispatcher::start(Millis now) {
     started_ = true;
-    for (auto& [id, job] : jobs_) {
-        Job& j = *job;
-        // Fresh tasks are those that no record names.
-        std::vector<char> named;
-        std::uint32_t last = 0;
-        auto name = [&](std::uint32_t task) {
-            if (named.size() <= task) named.resize(task + 1);
-            named[task] = 1;
-            last = std::max(last, task + 1);
-        };
-        for (const auto& a : j.attempts) name(a->task);
-        for (const jobs::Waiting& w : j.waiting) name(w.task);
-        for (const auto& [n, c] : j.chunks) {
-            for (std::uint32_t i = 0; i < jobs::kChunkTasks; ++i) {
-                if ((c.done >> i & 1) != 0) name(n * jobs::kChunkTasks + i);
-            }
-        }
-        j.next_fresh = last;
-        for (std::uint32_t t = 0; t < last; ++t) {
-            if (named[t] == 0) j.waiting.push_back({t, 0});
-        }
-        if (j.state == JobState::cancelled) stop_all(j, now);
-        maybe_finish(j, now);
-    }
+    for (auto& [id, job] : jobs_) complete_load(*job, now);
     for (std::size_t t = 0; t < teams_.size(); ++t) update_guarantees(static_cast<Index>(t));
     tick(now);
 }
 
+// After the last record of a job: what is still to be started?
+void Dispatcher::complete_load(Job& j, Millis now) {
+    // Fresh tasks are those that no record names.
+    std::vector<char> named;
+    std::uint32_t last = 0;
+    auto name = [&](std::uint32_t task) {
+        if (named.size() <= task) named.resize(task + 1);
+        named[task] = 1;
+        last = std::max(last, task + 1);
+    };
+    for (const auto& a : j.attempts) name(a->task);
+    for (const jobs::Waiting& w : j.waiting) name(w.task);
+    for (const auto& [n, c] : j.chunks) {
+        for (std::uint32_t i = 0; i < jobs::kChunkTasks; ++i) {
+            if ((c.done >> i & 1) != 0) name(n * jobs::kChunkTasks + i);
+        }
+    }
+    j.next_fresh = last;
+    for (std::uint32_t t = 0; t < last; ++t) {
+        if (named[t] == 0) j.waiting.push_back({t, 0});
+    }
+    if (j.state == JobState::cancelled) stop_all(j, now);
+    maybe_finish(j, now);
+}
+
 Dispatcher::Job* Dispatcher::find_job(const std::string& id) {
     auto it = jobs_.find(id);
     return it == jobs_.end() ? nullptr : it->second.get();
@@ -207,6 +211,7 @@
 
 void Dispatcher::cancel(Job& j, Millis now) {
     if (j.state == JobState::cancelled || j.state == JobState::finished) return;
+    dirty_ = true;
     j.links.submit(j.cancelled_event);
     set_job_state(j, JobState::cancelled);
     stop_all(j, now);
@@ -227,6 +232,7 @@
     if (j.state == JobState::open && !j.service() && j.done == j.spec.tasks) {
         set_job_state(j, JobState::finishing);
     }
+    if (j.lent_to != kNone) return;  // its holder does that
     bool over = j.state == JobState::finishing || (j.state == JobState::cancelled && j.live == 0);
     if (over && !j.commit_in_flight && now >= j.retry_commit_at) finish_commit(j, now);
 }
@@ -239,7 +245,8 @@
     }
     bool done = j.state == JobState::finishing;
     state::Txn txn;
-    txn.conditions = {term_condition(), {jobs::open_key(j.spec.id), j.version}};
+    txn.conditions = conditions();
+    txn.conditions.push_back({jobs::open_key(j.spec.id), j.version});
     if (done) {
         txn.writes.push_back({jobs::job_key(j.spec.id),
                               wire::Json{{"final", wire::final_name(wire::JobStatus::done)},
@@ -254,7 +261,7 @@
         else rest.push_back(key);
     }
     j.commit_in_flight = true;
-    outbox_.commit(std::move(txn), guarded([this, id = j.spec.id, rest, done](
+    outbox_.commit(std::move(txn), guarded([this, id = j.spec.id, rest](
                                                Millis t, const state::CommitReply& reply) {
         Job* job = find_job(id);
         if (job == nullptr) return;
@@ -268,7 +275,7 @@
             return;
         }
         job->retry_commit_at = t + kRetryCommit;
-        if (reply.outcome != state::Outcome::conflict) return;
+        if (reply.outcome != state::Outcome::conflict || superseded(reply)) return;
         // Cancelled meanwhile, applied after all, or another leader: the record tells.
         outbox_.read(jobs::open_key(id), guarded([this, id](Millis t2, const state::GetReply& got) {
             Job* again = find_job(id);
@@ -282,7 +289,6 @@
                 if (record) on_open_record(*record, got.item.version, 0, t2);
             }
         }));
-        (void)done;
     }));
 }
 
@@ -322,10 +328,30 @@
     }
 }
 
+std::vector<state::Condition> Dispatcher::conditions() const {
+    std::vector<state::Condition> out{{term_.key, term_.version}};
+    if (role_ == Role::holder) out.push_back(held_);
+    return out;
+}
+
+// Did the transaction fail because the term, or this holder's grant, is over?
+bool Dispatcher::superseded(const state::CommitReply& reply) {
+    for (const std::string& key : reply.failed) {
+        if (key != term_.key && (role_ == Role::leader || key != held_.key)) continue;
+        if (!deposed_) {
+            deposed_ = true;
+            outbox_.deposed(key + " has changed");
+        }
+        return true;
+    }
+    return false;
+}
+
 Dispatcher::Progress Dispatcher::progress(const std::string& id) const {
     auto it = jobs_.find(id);
     if (it == jobs_.end()) return {};
     Progress p{true, it->second->done, 0};
+    if (it->second->lent_to != kNone) return {true, it->second->lent_done, it->second->lent_running};
     for (const auto& a : it->second->attempts) {
         if (a->state == AttemptState::running || a->state == AttemptState::saving) ++p.running;
     }
--- a/src/dispatch/outbox.h
+++ b/src/dispatch/outbox.h
@@ -33,6 +33,8 @@
                         std::function<void(Millis, const state::CommitReply&)> done) = 0;
     virtual void read(const std::string& key,
                       std::function<void(Millis, const state::GetReply&)> done) = 0;
+    virtual void list(const std::string& prefix,
+                      std::function<void(Millis, const state::ListReply&)> done) = 0;
     virtual void direct(const std::string& machine, const std::string& address, std::uint64_t token,
                         std::uint64_t session, const std::vector<wire::Command>& commands,
                         std::function<void(Millis, const DirectReply&)> done) = 0;
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -150,16 +150,27 @@
 }
 
 CheckinAnswer Dispatcher::on_checkin(const wire::Report& r, Millis now) {
-    if (newer_leader(r)) return {421, 0, {}};
-    if (deposed_ || !started_ || roster_.buried(r.machine)) return {503, 0, {}};
+    if (newer_leader(r)) return {421, "", 0, {}};
+    if (deposed_ || !started_ || roster_.buried(r.machine)) return {503, "", 0, {}};
+    if (role_ == Role::holder && roster_.find(r.machine) == nullptr) return {421, "", 0, {}};
     Machine* m = adopt(r.machine, now);
+    if (m->state == MachineState::lent) {
+        auto lease = std::find_if(leases_.begin(), leases_.end(), [&](const auto& l) {
+            return std::any_of(l.second.room.begin(), l.second.room.end(),
+                               [&](const Room& x) { return x.machine == m->index; });
+        });
+        if (lease != leases_.end() && lease->second.state == LeaseState::granted) {
+            return {421, lease->second.holder, 0, {}};
+        }
+        return {503, "", 0, {}};  // nobody's for a moment
+    }
     absorb(*m, r, now);
     CheckinAnswer out;
     if (m->token == 0) {
         // Not granted yet: it may hold an earlier term's token, so it gets one of this term's.
         m->token = blocks::term_token(term_.number);
     }
-    if (m->token < r.token) return {503, 0, {}};
+    if (m->token < r.token) return {role_ == Role::holder ? 421 : 503, "", 0, {}};
     m->lease_until = std::max(m->lease_until, now + longer(seconds(settings_.lease_s)) + 500);
     out.token = m->token;
     out.commands = standing_commands(*m);
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -24,6 +24,7 @@
 }
 
 std::uint32_t Dispatcher::room_in_limit(const Job& j) const {
+    if (role_ == Role::holder) return j.spec.tasks;  // the leader has set the room aside
     const wire::Team& rule = team_rules_[j.team];
     const Team& used = teams_[j.team];
     double most = 1e6;
@@ -93,7 +94,7 @@
     next_pass_ = now + kPassGap;
     std::vector<Job*> unplaced;
     for (Job* j : queue(now)) {
-        if (confirmed_) try_job(*j, now);
+        if (confirmed_ && !lend_job(*j, now)) try_job(*j, now);
         if (j->unstarted() > 0) {
             if (j->starved_since == 0) j->starved_since = now;
             unplaced.push_back(j);
@@ -105,7 +106,10 @@
         for (auto& [id, j] : jobs_) {
             if (needs_commit(*j, now)) commit_job(*j, now);
         }
-        plan_supply(unplaced, now);
+        if (role_ == Role::leader) {
+            check_leases(!unplaced.empty(), now);
+            plan_supply(unplaced, now);
+        }
     }
     flush_poked(now);
 }
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -333,7 +333,7 @@
 bool Dispatcher::cut_off(Millis now) const {
     std::size_t up = 0, silent = 0;
     for (const Machine* m : roster_.all()) {
-        if (m->state == MachineState::booting || m->state == MachineState::gone || m->up_at == 0) continue;
+        if (m->state == MachineState::booting || m->state == MachineState::lent || m->up_at == 0) continue;
         ++up;
         if (now - m->heard_at > seconds(2.5 * settings_.report_s)) ++silent;
     }
@@ -346,6 +346,7 @@
     const bool blind = cut_off(now);
     std::vector<Machine*> list = roster_.all();
     for (Machine* m : list) {
+        if (m->state == MachineState::lent) continue;
         if (m->reserved_for != kNone && now >= m->reserved_until) {
             m->reserved_for = kNone;
             dirty_ = true;
@@ -379,6 +380,7 @@
             // Whatever it had, it has killed by itself.
             while (!m->attempts.empty()) proven_gone(*m->attempts.back(), now);
         }
+        if (role_ == Role::holder) continue;
         if (m->empty()) {
             if (m->idle_since == 0) m->idle_since = now;
             bool over = m->state == MachineState::draining && m->warned_until == 0;
@@ -399,12 +401,21 @@
 
 void Dispatcher::return_machine(Machine& m, const char* why) {
     if (m.state == MachineState::returning || m.state == MachineState::gone) return;
+    if (role_ == Role::holder) {
+        // Only the leader deals with the cloud.
+        if (std::find(troubled_.begin(), troubled_.end(), m.name) == troubled_.end()) {
+            spdlog::info("machine {} of this block {}", m.name, why);
+            troubled_.push_back(m.name);
+        }
+        if (m.state == MachineState::ready) set_machine_state(m, MachineState::draining);
+        return;
+    }
     spdlog::info("returning machine {}: it {}", m.name, why);
     set_machine_state(m, MachineState::returning);
 }
 
 void Dispatcher::send_returns(Millis now) {
-    if (return_in_flight_ || now < retry_return_at_ || !confirmed_) return;
+    if (return_in_flight_ || now < retry_return_at_ || !confirmed_ || role_ == Role::holder) return;
     std::vector<std::string> names;
     for (Machine* m : roster_.all()) {
         if (m->state == MachineState::returning && names.size() < kMostReturn) names.push_back(m->name);
@@ -428,10 +439,14 @@
 
 void Dispatcher::tick(Millis now) {
     if (!started_ || deposed_) return;
-    count_spare(now);
     watch_machines(now);
-    consolidate(now);
-    commit_blocks(now);
+    if (role_ == Role::leader) {
+        count_spare(now);
+        consolidate(now);
+        share_machines(now);
+        check_leases(false, now);
+        commit_blocks(now);
+    }
     drop_leftovers(now);
     for (auto& [id, j] : jobs_) {
         if (j->hold_until != 0 && now >= j->hold_until) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -113,6 +113,8 @@
 
     bool within_guarantee = false;
     Urgency urgency;
+    Index lent_to = kNone;  // block whose holder has it
+    std::uint64_t lent_done = 0, lent_running = 0;  // as the holder last said
     Millis starved_since = 0;  // first time no place was found
 
     links::Links links;
@@ -125,7 +127,7 @@
     void mark_done(std::uint32_t task);
     // Tasks that want a place now. A gang wants all or none.
     std::uint32_t unstarted() const {
-        if (state != JobState::open) return 0;
+        if (state != JobState::open || lent_to != kNone) return 0;
         if (gang()) return live == 0 && done == 0 ? spec.tasks : 0;
         return spec.tasks - next_fresh + static_cast<std::uint32_t>(waiting.size());
     }
--- /dev/null
+++ b/src/peers/codec.cpp
@@ -0,0 +1,46 @@
+#include "peers/codec.h"
+
+namespace nickelramp::peers {
+
+std::string frame(std::uint64_t kind, const Writer& message) {
+    Writer head;
+    head.number(kVersion);
+    head.number(kind);
+    Writer length;
+    length.number(head.bytes().size() + message.bytes().size());
+    return length.bytes() + head.bytes() + message.bytes();
+}
+
+std::optional<Framer::Frame> Framer::next() {
+    if (broken_) return std::nullopt;
+    std::string_view rest = std::string_view(buffer_).substr(used_);
+    Reader length(rest);
+    std::uint64_t n = length.number();
+    if (!length.good()) {
+        broken_ = rest.size() >= 10;  // no length takes so many bytes
+        return std::nullopt;
+    }
+    if (n > kMaxFrame) {
+        broken_ = true;
+        return std::nullopt;
+    }
+    if (length.rest().size() < n) {
+        buffer_.erase(0, used_);
+        used_ = 0;
+        return std::nullopt;
+    }
+    std::string_view body = length.rest().substr(0, n);
+    used_ += rest.size() - length.rest().size() + n;
+    Reader in(body);
+    Frame f;
+    f.version = in.number();
+    f.kind = in.number();
+    if (!in.good()) {
+        broken_ = true;
+        return std::nullopt;
+    }
+    f.body = std::string(in.rest());
+    return f;
+}
+
+}  // namespace nickelramp::peers
--- /dev/null
+++ b/src/peers/mesh.h
@@ -0,0 +1,55 @@
+// The back channel: one connection to every peer for what this node says, and those that peers
+// opened for what they say. Messages may be lost whenever a connection is.
+#pragma once
+#include <uv.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/timer.h"
+#include "peers/codec.h"
+#include "peers/messages.h"
+#include "wire/settings.h"
+
+namespace nickelramp::peers {
+
+class Mesh {
+  public:
+    struct Hooks {
+        std::function<void(const Status&)> status;
+        std::function<void(const Grant&)> grant;
+        std::function<void(const News&)> news;
+    };
+    Mesh(uv_loop_t* loop, const std::vector<wire::Peer>& peers, Hooks hooks);
+    ~Mesh();
+    Mesh(const Mesh&) = delete;
+    Mesh& operator=(const Mesh&) = delete;
+
+    int listen(const sockaddr_in& address);
+    // Sent if the peer can be reached now, dropped otherwise.
+    void send(const std::string& peer, const std::string& frame);
+    void send_all(const std::string& frame);
+
+  private:
+    struct Line;  // one connection
+
+    void accept();
+    void dial(std::size_t i);
+    void deliver(const Framer::Frame& f);
+    void refuse(const std::string& cause);
+
+    uv_loop_t* loop_;
+    std::vector<wire::Peer> peers_;
+    Hooks hooks_;
+    uv_tcp_t* listener_;
+    std::vector<std::shared_ptr<Line>> out_;  // by peer
+    std::set<std::shared_ptr<Line>> in_;
+    std::set<std::string> complained_;  // logged once per cause
+    net::Timer redial_;
+};
+
+}  // namespace nickelramp::peers
--- /dev/null
+++ b/src/peers/messages.cpp
@@ -0,0 +1,126 @@
+#include "peers/messages.h"
+
+namespace nickelramp::peers {
+
+std::string encode(const Status& m) {
+    Writer w;
+    w.text(m.from);
+    w.number(m.incarnation);
+    w.number(m.clock_ms);
+    w.number(m.term);
+    w.number(m.state_ok);
+    w.number(m.progress.size());
+    for (const auto& p : m.progress) {
+        w.text(p.id);
+        w.number(p.done);
+        w.number(p.running);
+    }
+    return frame(static_cast<std::uint64_t>(Kind::status), w);
+}
+
+std::optional<Status> read_status(std::string_view body) {
+    Reader r(body);
+    Status m;
+    m.from = r.text();
+    m.incarnation = r.number();
+    m.clock_ms = r.number();
+    m.term = r.number();
+    m.state_ok = r.number();
+    for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) {
+        Status::Progress p;
+        p.id = r.text();
+        p.done = r.number();
+        p.running = r.number();
+        m.progress.push_back(std::move(p));
+    }
+    if (!r.good() || m.from.empty()) return std::nullopt;
+    return m;
+}
+
+std::string encode(const Grant& m) {
+    Writer w;
+    w.text(m.from);
+    for (std::uint64_t v : {m.term, m.term_version, m.block, m.block_version, m.token,
+                            m.incarnation, m.asked_ms, m.lease_ms, m.view_age_ms}) {
+        w.number(v);
+    }
+    w.number(m.machines.size());
+    for (const auto& b : m.machines) {
+        w.text(b.name);
+        w.text(b.address);
+        w.text(b.type);
+        w.text(b.zone);
+        w.number(b.spot ? 1 : 0);
+    }
+    w.number(m.jobs.size());
+    for (const auto& j : m.jobs) {
+        w.text(j.id);
+        w.number(j.cancelled);
+    }
+    return frame(static_cast<std::uint64_t>(Kind::grant), w);
+}
+
+std::optional<Grant> read_grant(std::string_view body) {
+    Reader r(body);
+    Grant m;
+    m.from = r.text();
+    for (std::uint64_t* v : {&m.term, &m.term_version, &m.block, &m.block_version, &m.token,
+                             &m.incarnation, &m.asked_ms, &m.lease_ms, &m.view_age_ms}) {
+        *v = r.number();
+    }
+    for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) {
+        blocks::Member b;
+        b.name = r.text();
+        b.address = r.text();
+        b.type = r.text();
+        b.zone = r.text();
+        b.spot = r.number() != 0;
+        m.machines.push_back(std::move(b));
+    }
+    for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) {
+        Grant::Job j;
+        j.id = r.text();
+        j.cancelled = r.number();
+        m.jobs.push_back(std::move(j));
+    }
+    if (!r.good() || m.from.empty() || m.token == 0) return std::nullopt;
+    return m;
+}
+
+std::string encode(const News& m) {
+    Writer w;
+    w.text(m.from);
+    w.number(m.term);
+    w.number(m.token);
+    w.number(m.jobs.size());
+    for (const auto& j : m.jobs) {
+        w.text(j.id);
+        w.number(j.done);
+        w.number(j.running);
+        w.number(j.over);
+    }
+    w.number(m.troubled.size());
+    for (const auto& t : m.troubled) w.text(t);
+    return frame(static_cast<std::uint64_t>(Kind::news), w);
+}
+
+std::optional<News> read_news(std::string_view body) {
+    Reader r(body);
+    News m;
+    m.from = r.text();
+    m.term = r.number();
+    m.token = r.number();
+    for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) {
+        News::Job j;
+        j.id = r.text();
+        j.done = r.number();
+        j.running = r.number();
+        j.over = r.number();
+        m.jobs.push_back(std::move(j));
+    }
+    for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) m.troubled.push_back(r.text());
+    if (!r.good() || m.from.empty()) return std::nullopt;
+    return m;
+}
+
+}  // namespace nickelramp::peers
--- /dev/null
+++ b/src/peers/messages.h
@@ -0,0 +1,69 @@
+// What controllers tell each other. All of it is advice or a lease with an end: nothing said here
+// makes a start safe, the records in the state service do.
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "blocks/ledger.h"
+#include "peers/codec.h"
+
+namespace nickelramp::peers {
+
+enum class Kind : std::uint64_t { status = 1, grant = 2, news = 3 };
+
+// To everybody, every second.
+struct Status {
+    std::string from;
+    std::uint64_t incarnation = 0;  // of the process
+    std::uint64_t clock_ms = 0;     // its steady clock; a grant answers it
+    std::uint64_t term = 0;       // that the sender leads; 0: none
+    std::uint64_t state_ok = 0;   // 1: the state service serves it
+    struct Progress {             // of open jobs, for display; leader only
+        std::string id;
+        std::uint64_t done = 0, running = 0;
+    };
+    std::vector<Progress> progress;
+};
+
+// Leader to holder, renewed every second: a block of machines, and the jobs to run on them.
+struct Grant {
+    std::string from;
+    std::uint64_t term = 0, term_version = 0;
+    std::uint64_t block = 0, block_version = 0;  // number and stamp of its record
+    std::uint64_t token = 0;
+    // A process that came back must not go on with a token whose commands its predecessor may still
+    // have under way.
+    std::uint64_t incarnation = 0;
+    std::uint64_t asked_ms = 0;     // clock of the status that this answers: the lease runs from then
+    std::uint64_t lease_ms = 0;
+    std::uint64_t view_age_ms = 0;  // how old the leader's knowledge of cancellations is
+    std::vector<blocks::Member> machines;
+    struct Job {
+        std::string id;
+        std::uint64_t cancelled = 0;
+    };
+    std::vector<Job> jobs;
+};
+
+// Holder to leader, every second and when something ends.
+struct News {
+    std::string from;
+    std::uint64_t term = 0, token = 0;
+    struct Job {
+        std::string id;
+        std::uint64_t done = 0, running = 0, over = 0;
+    };
+    std::vector<Job> jobs;
+    std::vector<std::string> troubled;  // machines that the holder wants to be rid of
+};
+
+std::string encode(const Status& m);  // whole frames
+std::string encode(const Grant& m);
+std::string encode(const News& m);
+// Nothing for messages that cannot be read.
+std::optional<Status> read_status(std::string_view body);
+std::optional<Grant> read_grant(std::string_view body);
+std::optional<News> read_news(std::string_view body);
+
+}  // namespace nickelramp::peers
--- a/src/workers/roster.cpp
+++ b/src/workers/roster.cpp
@@ -13,6 +13,7 @@
         case MachineState::booting: return "booting";
         case MachineState::joining: return "joining";
         case MachineState::ready: return "ready";
+        case MachineState::lent: return "lent";
         case MachineState::draining: return "draining";
         case MachineState::returning: return "returning";
         case MachineState::gone: return "gone";
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -16,10 +16,11 @@
 // joining:   has reported; the block record that grants it is not committed yet, or the token that
 //            this term gave it is not confirmed
 // ready:     may be given tasks
+// lent:      in a block that another controller holds
 // draining:  gets no new tasks; goes back to the cloud when empty or when its time is up
 // returning: the cloud was told to take it back
 // gone:      proven gone, with everything on it
-enum class MachineState { booting, joining, ready, draining, returning, gone };
+enum class MachineState { booting, joining, ready, lent, draining, returning, gone };
 const char* name(MachineState s);
 
 struct CachedImage {
--- /dev/null
+++ b/tests/peers_test.cpp
@@ -0,0 +1,111 @@
+// The back channel's codec: round trips, cuts at every byte, and noise.
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "peers/messages.h"
+
+namespace {
+
+using namespace nickelramp::peers;
+
+Grant sample() {
+    Grant g;
+    g.from = "ramper-1";
+    g.term = 3;
+    g.term_version = 1ull << 40;
+    g.block = 2;
+    g.block_version = 77;
+    g.token = UINT64_MAX;
+    g.asked_ms = 123456;
+    g.lease_ms = 4000;
+    g.view_age_ms = 12;
+    g.machines = {{"i-000001", "10.1.0.1:9000", "g8", "a", true}, {"i-000002", "10.1.0.2:9000", "g8", "b", false}};
+    g.jobs = {{"job-1", 0}, {"job-2", 1}};
+    return g;
+}
+
+std::string body_of(const std::string& bytes) {
+    Framer f;
+    f.add(bytes);
+    auto frame = f.next();
+    EXPECT_TRUE(frame);
+    return frame ? frame->body : "";
+}
+
+TEST(Peers, RoundTrips) {
+    Grant g = sample();
+    auto back = read_grant(body_of(encode(g)));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->token, g.token);
+    EXPECT_EQ(back->term_version, g.term_version);
+    ASSERT_EQ(back->machines.size(), 2u);
+    EXPECT_EQ(back->machines[0].address, "10.1.0.1:9000");
+    EXPECT_TRUE(back->machines[0].spot);
+    ASSERT_EQ(back->jobs.size(), 2u);
+    EXPECT_EQ(back->jobs[1].cancelled, 1u);
+    EXPECT_EQ(encode(*back), encode(g));
+
+    Status s{"ramper-0", 77, 5, 9, 1, {{"job-7", 3, 300}}};
+    auto status = read_status(body_of(encode(s)));
+    ASSERT_TRUE(status);
+    EXPECT_EQ(encode(*status), encode(s));
+    News n{"ramper-2", 3, 9, {{"job-7", 3, 2, 1}}, {"i-000001"}};
+    auto news = read_news(body_of(encode(n)));
+    ASSERT_TRUE(news);
+    EXPECT_EQ(encode(*news), encode(n));
+}
+
+TEST(Peers, CutMessagesAreRefusedAndCutStreamsWait) {
+    std::string bytes = encode(sample());
+    std::string body = body_of(bytes);
+    for (std::size_t n = 0; n < body.size(); ++n) EXPECT_FALSE(read_grant(body.substr(0, n))) << n;
+    // What a later version adds at the end is passed over.
+    EXPECT_TRUE(read_grant(body + "later"));
+    Framer f;
+    for (std::size_t i = 0; i + 1 < bytes.size(); ++i) {
+        f.add(bytes.substr(i, 1));
+        EXPECT_FALSE(f.next());
+        EXPECT_FALSE(f.broken());
+    }
+    f.add(bytes.substr(bytes.size() - 1) + bytes);
+    EXPECT_TRUE(f.next());
+    EXPECT_TRUE(f.next());
+    EXPECT_FALSE(f.next());
+}
+
+TEST(Peers, LengthsAreBounded) {
+    Framer f;
+    Writer w;
+    w.number(kMaxFrame + 1);
+    f.add(w.bytes());
+    EXPECT_FALSE(f.next());
+    EXPECT_TRUE(f.broken());
+    Framer endless;
+    endless.add(std::string(11, '\xff'));
+    EXPECT_FALSE(endless.next());
+    EXPECT_TRUE(endless.broken());
+    // A count far beyond the message's end must not allocate for it.
+    Writer lie;
+    lie.text("ramper-1");
+    for (int i = 0; i < 9; ++i) lie.number(1);
+    lie.number(UINT64_MAX);
+    EXPECT_FALSE(read_grant(lie.bytes()));
+}
+
+TEST(Peers, NoiseNeverCrashes) {
+    std::minstd_rand random(11);
+    std::string body = body_of(encode(sample()));
+    int read = 0;
+    for (int i = 0; i < 50000; ++i) {
+        std::string b = body;
+        for (int k = 0; k < 2; ++k) b[random() % b.size()] = static_cast<char>(random());
+        read += read_grant(b) ? 1 : 0;
+        read_status(b);
+        read_news(b);
+    }
+    EXPECT_GT(read, 0);
+    EXPECT_LT(read, 50000);
+}
+
+}  // namespace
