--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "net/address.h"
+#include "peers/standing.h"
 
 namespace nickelramp::app {
 
@@ -20,8 +21,6 @@
 constexpr Millis kTypesRetry = 2'000;
 constexpr std::uint32_t kShare = 2;  // machines lent to each other controller
 constexpr Millis kTellEvery = 1000;
-constexpr Millis kPeerFresh = 2'500;
-constexpr Millis kRefusedFor = 1'500;  // a node refused for so long says so
 constexpr std::size_t kMostShown = 1000;
 constexpr Millis kPruneEvery = 10'000;
 constexpr Millis kRest = 20'000;  // after handing over
@@ -132,13 +131,13 @@
 }
 
 bool Node::state_served() const {
-    return state_.last_refusal() < 0 || state_.last_answer() >= state_.last_refusal() ||
-           now() - state_.last_answer() < kRefusedFor;
+    return state_.refused_since() < 0 || now() - state_.refused_since() < peers::kRefusedFor;
 }
 
 bool Node::peers_served() const {
     return std::any_of(peer_news_.begin(), peer_news_.end(), [this](const auto& p) {
-        return p.second.served && now() - p.second.heard_at < kPeerFresh;
+        return peers::served_meanwhile(state_.refused_since(), p.second.answered_at,
+                                       p.second.heard_at, now());
     });
 }
 
@@ -380,7 +379,7 @@
 // -----------------------------------------------------------------------------
 
 void Node::heard(const peers::Status& s) {
-    peer_news_[s.from] = {now(), s.state_ok != 0};
+    peer_news_[s.from] = {now(), now() - static_cast<Millis>(s.state_age_ms)};
     if (book_ == Book::running) {
         dispatcher_->peer_heard(s, now());
         shown_.clear();
@@ -396,7 +395,7 @@
     s.incarnation = holding_.incarnation();
     s.clock_ms = static_cast<std::uint64_t>(now());
     s.term = book_ == Book::running ? term_ : 0;
-    s.state_ok = state_served() ? 1 : 0;
+    s.state_age_ms = static_cast<std::uint64_t>(now() - state_.last_answer());
     if (book_ == Book::running) {
         for (const auto& [id, j] : dispatcher_->open_jobs()) {
             if (s.progress.size() >= kMostShown) break;
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -110,7 +110,7 @@
     peers::Mesh mesh_;
     struct PeerNews {
         Millis heard_at = 0;
-        bool served = false;  // by the state service
+        Millis answered_at = 0;  // by the state service
     };
     std::map<std::string, PeerNews> peer_news_;
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 
 #include "dispatch/dispatcher.h"
+#include "peers/standing.h"
 
 namespace nickelramp::dispatch {
 
@@ -19,13 +20,13 @@
 
 namespace {
 constexpr Millis kLease = 4'000;
-constexpr Millis kPeerFresh = 2'500;  // a peer that was heard of so lately may be given machines
+constexpr std::uint64_t kServed = 8'000;  // by the state service, so lately
 constexpr Millis kIdleLease = 8'000;
 constexpr std::size_t kMostJobs = 40;  // lent with one block
 }  // namespace
 
 void Dispatcher::peer_heard(const peers::Status& s, Millis now) {
-    peers_[s.from] = {s.incarnation, s.clock_ms, s.state_ok != 0, now};
+    peers_[s.from] = {s.incarnation, s.clock_ms, s.state_age_ms < kServed, now};
 }
 
 void Dispatcher::set_lease_state(std::uint32_t block, Lease& l, LeaseState s) {
@@ -39,7 +40,7 @@
 void Dispatcher::share_machines(Millis now) {
     if (share_ == 0 || !confirmed_ || blocks_in_flight_ || starving_) return;
     for (const auto& [name, peer] : peers_) {
-        if (!peer.healthy || now - peer.heard_at > kPeerFresh) continue;
+        if (!peer.healthy || now - peer.heard_at > peers::kPeerFresh) continue;
         bool has = std::any_of(leases_.begin(), leases_.end(),
                                [&](const auto& l) { return l.second.holder == name; });
         if (has) continue;
@@ -105,7 +106,7 @@
     for (auto& [block, l] : leases_) {
         auto peer = peers_.find(l.holder);
         if (l.state != LeaseState::granted || l.jobs.size() >= kMostJobs) continue;
-        if (peer == peers_.end() || now - peer->second.heard_at > kPeerFresh) continue;
+        if (peer == peers_.end() || now - peer->second.heard_at > peers::kPeerFresh) continue;
         Need need = placing::need_of(j);
         auto room = l.room;
         std::uint32_t left = j.spec.tasks;
@@ -182,7 +183,7 @@
     for (auto& [block, l] : leases_) {
         auto peer = peers_.find(l.holder);
         if (l.state != LeaseState::granted || peer == peers_.end()) continue;
-        if (now - peer->second.heard_at > kPeerFresh) continue;
+        if (now - peer->second.heard_at > peers::kPeerFresh) continue;
         if (peer->second.incarnation != l.incarnation) continue;
         const blocks::Block& b = ledger_.block(block);
         if (b.dirty || b.uncertain) continue;
@@ -230,7 +231,7 @@
         if (l.state == LeaseState::granted) {
             auto peer = peers_.find(l.holder);
             bool lost = peer == peers_.end() ||
-                        (now > l.over_at && now - peer->second.heard_at > kPeerFresh);
+                        (now > l.over_at && now - peer->second.heard_at > peers::kPeerFresh);
             if (!l.jobs.empty()) l.idle_since = now;
             bool idle = now - l.idle_since > kIdleLease;
             bool unhealthy = peer != peers_.end() &&
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -8,7 +8,7 @@
     w.number(m.incarnation);
     w.number(m.clock_ms);
     w.number(m.term);
-    w.number(m.state_ok);
+    w.number(m.state_age_ms);
     w.number(m.progress.size());
     for (const auto& p : m.progress) {
         w.text(p.id);
@@ -25,7 +25,7 @@
     m.incarnation = r.number();
     m.clock_ms = r.number();
     m.term = r.number();
-    m.state_ok = r.number();
+    m.state_age_ms = r.number();
     for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) {
         Status::Progress p;
         p.id = r.text();
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -15,11 +15,11 @@
 // To everybody, every second.
 struct Status {
     std::string from;
-    std::uint64_t incarnation = 0;  // of the process
-    std::uint64_t clock_ms = 0;     // its steady clock; a grant answers it
-    std::uint64_t term = 0;         // that the sender leads; 0: none
-    std::uint64_t state_ok = 0;     // 1: the state service serves it
-    struct Progress {               // of open jobs, for display; leader only
+    std::uint64_t incarnation = 0;   // of the process
+    std::uint64_t clock_ms = 0;      // its steady clock; a grant answers it
+    std::uint64_t term = 0;          // that the sender leads; 0: none
+    std::uint64_t state_age_ms = 0;  // since the state service last answered it
+    struct Progress {                // of open jobs, for display; leader only
         std::string id;
         std::uint64_t done = 0, running = 0;
     };
--- /dev/null
+++ b/src/peers/standing.h
@@ -0,0 +1,18 @@
+// Is it everybody that the state service refuses, or this node alone?
+#pragma once
+#include "base/time.h"
+
+namespace nickelramp::peers {
+
+inline constexpr Millis kPeerFresh = 2'500;   // a peer heard of so lately counts
+inline constexpr Millis kRefusedFor = 1'500;  // a node refused for less says nothing yet
+
+// Shows the peer that an outage is not everybody's? Only an answer that it got after this node's
+// refusals began: a peer that asks little has not noticed the outage yet and believes itself
+// served.
+inline bool served_meanwhile(Millis refused_since, Millis peer_answered_at, Millis peer_heard_at,
+                             Millis now) {
+    return now - peer_heard_at < kPeerFresh && peer_answered_at > refused_since + kRefusedFor / 3;
+}
+
+}  // namespace nickelramp::peers
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -146,10 +146,12 @@
 
 void Client::note(const net::Reply& r) {
     if (r.outcome != net::Reply::Outcome::answered) return;
-    if (r.status == 503)
-        last_refusal_ = now();
-    else
+    if (r.status == 503) {
+        if (refused_since_ < 0) refused_since_ = now();
+    } else {
         last_answer_ = now();
+        refused_since_ = -1;
+    }
     if (r.status == 429) slow_until_ = now() + kBackOff;
 }
 
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -94,8 +94,9 @@
     // One long poll; the caller opens the next.
     void watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done);
 
-    Millis last_answer() const { return last_answer_; }  // when an answer last came, refusals aside
-    Millis last_refusal() const { return last_refusal_; }  // when a 503 last came
+    Millis last_answer() const { return last_answer_; }  // refusals aside
+    // When 503s began that no answer has followed; -1: it answers.
+    Millis refused_since() const { return refused_since_; }
 
   private:
     struct Call {
@@ -125,7 +126,7 @@
     std::deque<Call> queues_[3];
     net::Timer timer_;
     Millis last_answer_ = 0;
-    Millis last_refusal_ = -1;
+    Millis refused_since_ = -1;
     Millis slow_until_ = 0;  // after a 429
 };
 
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -4,6 +4,7 @@
 #include <random>
 
 #include "peers/messages.h"
+#include "peers/standing.h"
 
 namespace {
 
@@ -109,4 +110,14 @@
     EXPECT_LT(read, 50000);
 }
 
+// Guards against ending a term in an outage that everybody has: a leader once stepped down because
+// its followers, which ask little, had not noticed the outage yet.
+TEST(Peers, AnOutageIsNotTakenForARefusal) {
+    using nickelramp::peers::served_meanwhile;
+    const nickelramp::Millis refused_since = 100'000, now = 104'000;
+    EXPECT_FALSE(served_meanwhile(refused_since, 99'900, now - 500, now));  // before the outage
+    EXPECT_TRUE(served_meanwhile(refused_since, 102'000, now - 500, now));  // served all the while
+    EXPECT_FALSE(served_meanwhile(refused_since, 102'000, now - 9000, now));  // old news
+}
+
 }  // namespace
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -88,7 +88,6 @@
         s.from = holder_settings_[i].name;
         s.incarnation = nodes_[i]->holding->incarnation();
         s.clock_ms = static_cast<std::uint64_t>(now_);
-        s.state_ok = 1;
         auto news = nodes_[i]->holding->news();
         at(now_ + delay(20), [this, s, news] {
             if (leader() == nullptr) return;
