--- /dev/null
+++ b/src/admin/options.cpp
@@ -0,0 +1,55 @@
+#include "admin/options.h"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <cmath>
+
+namespace nickelramp::admin {
+
+const std::vector<Option>& all_options() {
+    static const std::vector<Option> options = {
+        {"lent_machines", &Options::lent_machines, 0, 16, true},
+        {"spare_boots", &Options::spare_boots, 0, 20, false},
+        {"use_spot", &Options::use_spot, 0, 1, true},
+    };
+    return options;
+}
+
+const Option* find_option(const std::string& name) {
+    for (const Option& o : all_options()) {
+        if (name == o.name) return &o;
+    }
+    return nullptr;
+}
+
+bool set_option(Options& options, const Option& option, const wire::Json& value,
+                std::string& error) {
+    double v = value.is_boolean()  ? (value.get<bool>() ? 1 : 0)
+               : value.is_number() ? value.get<double>()
+                                   : NAN;
+    if (!std::isfinite(v) || v < option.least || v > option.most ||
+        (option.whole && v != std::floor(v))) {
+        error = fmt::format("{} must be a {} from {} to {}", option.name,
+                            option.whole ? "whole number" : "number", option.least, option.most);
+        return false;
+    }
+    options.*option.member = v;
+    return true;
+}
+
+wire::Json options_json(const Options& options) {
+    wire::Json out = wire::Json::object();
+    for (const Option& o : all_options()) out[o.name] = options.*o.member;
+    return out;
+}
+
+Options read_options(const wire::Json& record) {
+    Options out;
+    std::string error;
+    for (const Option& o : all_options()) {
+        if (const wire::Json* v = wire::field(record, o.name)) set_option(out, o, *v, error);
+    }
+    return out;
+}
+
+}  // namespace nickelramp::admin
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -19,7 +19,6 @@
 constexpr Millis kCommit = 2500;
 constexpr Millis kTypesEvery = 30'000;
 constexpr Millis kTypesRetry = 2'000;
-constexpr std::uint32_t kShare = 2;  // machines lent to each other controller
 constexpr Millis kTellEvery = 1000;
 constexpr std::size_t kMostShown = 1000;
 constexpr Millis kPruneEvery = 10'000;
@@ -46,7 +45,10 @@
       state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings)),
       cloud_(loop, *net::parse_address(settings.cloud), settings.cloud, settings.cloud_rps),
       desk_(settings, state_,
-            {[this] { return wall_ms(); },
+            {[this] { return wall_ms(); }, [this] { return now(); },
+             [this](const char* request, int status, Millis took) {
+                 metrics_.answered(request, status, static_cast<double>(took));
+             },
              [this](const std::string& id, std::uint64_t& done, std::uint64_t& running) {
                  if (dispatcher_) {
                      auto p = dispatcher_->progress(id);
@@ -95,7 +97,11 @@
                  if (book_ == Book::running) dispatcher_->on_news(n, now());
              }}),
       holding_(settings, leadership::kTermKey, holder_box_, seed_of(settings.name) | 1),
-      bury_timer_(loop, [this] { holding_.bury(); }) {}
+      bury_timer_(loop, [this] { holding_.bury(); }),
+      admin_(loop, state_, metrics_, {[this] { return status(); }, [this] { gather(); }},
+             [this](const admin::Options& options) {
+                 if (dispatcher_) dispatcher_->set_options(options);
+             }) {}
 
 int Node::start() {
     int rc = server_.listen(*net::parse_address(settings_.listen));
@@ -103,6 +109,7 @@
     rc = mesh_.listen(*net::parse_address(settings_.peer_listen));
     if (rc < 0) return rc;
     election_.start();
+    admin_.start();
     tick_timer_.every(kTick);
     state_.get(kTypesKey, state::Urgency::control, 2000, [this](const state::GetReply& r) {
         if (r.outcome == state::Outcome::ok && types_.empty()) {
@@ -154,7 +161,7 @@
         responder.send({ok ? 200 : 503, wire::encode({{"ready", ok}}), 0, "application/cbor"});
         return;
     }
-    if (desk_.handle(request, responder)) return;
+    if (desk_.handle(request, responder) || admin_.handle(request, responder)) return;
     responder.send({404, wire::encode({{"error", "no such path"}}), 0, "application/cbor"});
 }
 
@@ -202,7 +209,6 @@
 }
 
 // --- the term
-// -------------------------------------------------------------------------------------
 
 void Node::elected(std::uint64_t term, std::uint64_t version) {
     ++generation_;
@@ -281,7 +287,8 @@
 
 void Node::loaded() {
     set_book(Book::running);
-    dispatcher_->set_share(kShare);
+    dispatcher_->set_options(admin_.options());
+    dispatcher_->set_metrics(&metrics_);
     dispatcher_->set_confirmed(election_.state() == leadership::State::leading);
     dispatcher_->start(now());
     watch_open();
@@ -376,7 +383,6 @@
 }
 
 // --- the back channel
-// -----------------------------------------------------------------------------
 
 void Node::heard(const peers::Status& s) {
     peer_news_[s.from] = {now(), now() - static_cast<Millis>(s.state_age_ms)};
@@ -425,6 +431,28 @@
 }
 
 // --- cloud
+wire::Json Node::status() const {
+    wire::Json out = {{"node", settings_.name},
+                      {"leader", election_.leader()},
+                      {"leadership", leadership::name(election_.state())},
+                      {"ready", ready()},
+                      {"state_service", state_served() ? "answers" : "refuses"}};
+    if (book_ == Book::running) out["book"] = dispatcher_->overview(now());
+    return out;
+}
+
+void Node::gather() {
+    if (book_ != Book::running) return;
+    auto s = dispatcher_->summary();
+    metrics_.gauge("jobs", "open", static_cast<double>(s.open_jobs));
+    metrics_.gauge("tasks", "waiting", static_cast<double>(s.waiting_tasks));
+    metrics_.gauge("attempts", "live", static_cast<double>(s.live_attempts));
+    for (std::size_t i = 0; i < std::size(s.machines); ++i) {
+        metrics_.gauge("machines", workers::name(static_cast<workers::MachineState>(i)),
+                       static_cast<double>(s.machines[i]));
+    }
+}
+
 // ----------------------------------------------------------------------------------------
 
 void Node::poll_hosts() {
@@ -467,7 +495,6 @@
 }
 
 // --- outbox
-// ---------------------------------------------------------------------------------------
 
 void Node::Box::commit(state::Txn txn,
                        std::function<void(Millis, const state::CommitReply&)> done) {
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "admin/desk.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/holding.h"
 #include "fleet/cloud.h"
@@ -56,6 +57,8 @@
     void tell_peers();
     void tend_holding();
     bool peers_served() const;
+    wire::Json status() const;
+    void gather();
     bool state_served() const;
     void send_grants();
 
@@ -89,6 +92,7 @@
 
     uv_loop_t* loop_;
     const wire::Settings& settings_;
+    admin::Metrics metrics_;
     net::HttpServer server_;
     state::Client state_;
     fleet::Cloud cloud_;
@@ -118,6 +122,7 @@
     Millis tell_at_ = 0;
     dispatch::Holding holding_;
     net::Timer bury_timer_;
+    admin::Desk admin_;
     std::unordered_map<std::string, std::unique_ptr<net::HttpClient>> workers_;
     Millis prune_at_ = 0;
 };
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -23,7 +23,12 @@
     spdlog::debug("task {}/{} try {}: {} -> {}", job_of(a).spec.id, a.task, a.number, name(a.state),
                   name(s));
     a.set_state(s);
-    if (s == AttemptState::running && a.running_since == 0) a.running_since = now;
+    if (s != AttemptState::running || a.running_since != 0) return;
+    a.running_since = now;
+    Job& j = job_of(a);
+    if (metrics_ != nullptr && a.number == 1) {
+        metrics_->started(j.spec.job_class, static_cast<double>(now - j.accepted_at) / 1000.0);
+    }
 }
 
 void Dispatcher::occupy(Attempt& a, Job& j, Machine& m) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,6 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admin/metrics.h"
+#include "admin/options.h"
 #include "base/names.h"
 #include "base/time.h"
 #include "blocks/ledger.h"
@@ -79,7 +81,7 @@
     // The grants to send now; each renews a lease.
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
     void on_news(const peers::News& news, Millis now);
-    void set_share(std::uint32_t machines) { share_ = machines; }
+    void set_options(const admin::Options& options) { options_ = options; }
 
     // Sharing, the holder's side.
     void hold(const peers::Grant& grant, Millis now);
@@ -102,6 +104,10 @@
     // Most machines have fallen silent at once: rather this node's trouble than theirs.
     bool cut_off(Millis now) const;
 
+    void set_metrics(admin::Metrics* metrics) { metrics_ = metrics; }
+    // The jobs that wait, with the reason, and those past or about to pass an objective.
+    wire::Json overview(Millis now) const;
+
     // For tests and administration.
     const workers::Roster& roster() const { return roster_; }
     const std::unordered_map<std::string, std::unique_ptr<jobs::Job>>& open_jobs() const {
@@ -197,6 +203,9 @@
     std::vector<Job*> queue(Millis now);
     jobs::Urgency urgency(const Job& j, Millis now) const;
 
+    // overview.cpp
+    std::string why_waiting(const Job& j, Millis now) const;
+
     // sharing.cpp
     struct Peer {
         std::uint64_t incarnation = 0, clock_ms = 0;
@@ -263,7 +272,8 @@
     std::vector<std::string> troubled_;
     std::map<std::string, Peer> peers_;
     std::map<std::uint32_t, Lease> leases_;  // by block
-    std::uint32_t share_ = 0;
+    admin::Options options_;
+    admin::Metrics* metrics_ = nullptr;
     bool starving_ = false;  // jobs found no place when last looked
     bool started_ = false;
     bool confirmed_ = true;
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -38,7 +38,8 @@
 
 // Lends each healthy peer a block of empty machines of one zone.
 void Dispatcher::share_machines(Millis now) {
-    if (share_ == 0 || !confirmed_ || blocks_in_flight_ || starving_) return;
+    const auto share = static_cast<std::size_t>(options_.lent_machines);
+    if (share == 0 || !confirmed_ || blocks_in_flight_ || starving_) return;
     for (const auto& [name, peer] : peers_) {
         if (!peer.healthy || now - peer.heard_at > peers::kPeerFresh) continue;
         bool has = std::any_of(leases_.begin(), leases_.end(),
@@ -47,14 +48,14 @@
         std::map<Index, std::vector<Machine*>> by_zone;
         for (Machine* m : roster_.all()) {
             if (m->usable() && m->attempts.empty() && m->granted && m->reserved_for == kNone &&
-                !m->direct_in_flight && (m->spot || spare_ > spare_wanted_ + share_) &&
+                !m->direct_in_flight && (m->spot || spare_ > spare_wanted_ + share) &&
                 now >= m->probation_until && m->confirmed()) {
                 by_zone[m->zone].push_back(m);
             }
         }
         for (auto& [zone, list] : by_zone) {
-            if (list.size() < share_) continue;
-            list.resize(share_);
+            if (list.size() < share) continue;
+            list.resize(share);
             std::vector<std::string> names;
             for (Machine* m : list) names.push_back(m->name);
             std::uint32_t block = ledger_.lend(names, name);
@@ -236,7 +237,8 @@
             bool idle = now - l.idle_since > kIdleLease;
             bool unhealthy = peer != peers_.end() &&
                              (!peer->second.healthy || peer->second.incarnation != l.incarnation);
-            if (lost || idle || unhealthy || share_ == 0 || (starving_ && l.jobs.empty())) {
+            if (lost || idle || unhealthy || options_.lent_machines == 0 ||
+                (starving_ && l.jobs.empty())) {
                 set_lease_state(block, l, LeaseState::ending);
             }
         }
@@ -288,7 +290,6 @@
 }
 
 // --- the holder's side
-// ------------------------------------------------------------------------------
 
 void Dispatcher::hold(const peers::Grant& grant, Millis now) {
     held_ = {blocks::block_key(static_cast<std::uint32_t>(grant.block)), grant.block_version};
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -15,7 +15,6 @@
 constexpr Millis kMostBlock = 20'000;
 constexpr std::uint32_t kMostHire = 50;   // the cloud's own limit a request
 constexpr std::size_t kMostReturn = 100;  // likewise
-constexpr double kSpareShare = 2.5;       // of what arrives within a boot time
 constexpr double kIdleSurplus = 10;       // seconds
 constexpr Millis kSettled = 31'000;       // replicas that have run so long may be moved
 constexpr Millis kClosed = 30'000;        // a machine that is being emptied takes nothing new
@@ -108,7 +107,7 @@
                         if (zone != kNone && z != zone) continue;
                         if (j->spec.spread && in_zone[z] >= half) continue;
                         for (bool spot : {true, false}) {
-                            if (spot && !j->spec.spot) continue;
+                            if (spot && (!j->spec.spot || options_.use_spot == 0)) continue;
                             auto it = offers_.find({t, z, spot});
                             if (it != offers_.end() && now < it->second.blocked_until) continue;
                             double fits =
@@ -270,8 +269,8 @@
 void Dispatcher::count_spare(Millis now) {
     double boot_s = 60;
     if (!types_.empty()) boot_s = types_.front().boot_s;
-    spare_wanted_ =
-        static_cast<std::size_t>(std::ceil(whole_arrivals_.within(boot_s * kSpareShare, now)));
+    spare_wanted_ = static_cast<std::size_t>(
+        std::ceil(whole_arrivals_.within(boot_s * options_.spare_boots, now)));
     spare_ = 0;
     for (Machine* m : roster_.all()) {
         if (!m->usable() || m->spot) continue;
--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -82,6 +82,12 @@
     return true;
 }
 
+void Desk::answer(const char* request, Millis since, const net::Responder& responder,
+                  const net::Response& response) {
+    hooks_.answered(request, response.status, hooks_.now() - since);
+    responder.send(response);
+}
+
 // Answers from the job's own record.
 void Desk::answer_known(const std::string& id, const Json& record, const net::Responder& r) {
     auto final = wire::text(record, "final");
@@ -141,16 +147,18 @@
         return;
     }
     ++open_;
+    Millis since = hooks_.now();
     state_.commit(txn, state::Urgency::user, kSubmitWait,
-                  [this, id, responder](const state::CommitReply& r) {
+                  [this, id, since, responder](const state::CommitReply& r) {
                       --open_;
                       spdlog::debug("submission of {}: {}", id, state::name(r.outcome));
                       if (r.outcome == state::Outcome::ok) {
-                          responder.send(ok(201, wire::job_answer(id, JobStatus::pending)));
+                          answer("submit", since, responder,
+                                 ok(201, wire::job_answer(id, JobStatus::pending)));
                       } else if (r.outcome == state::Outcome::conflict) {
                           query(id, responder);  // known already
                       } else {
-                          responder.send(busy());
+                          answer("submit", since, responder, busy());
                       }
                   });
 }
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -21,6 +21,8 @@
   public:
     struct Hooks {
         std::function<std::int64_t()> wall_ms;
+        std::function<Millis()> now;
+        std::function<void(const char* request, int status, Millis took)> answered;
         // Counts for display, when this node knows them.
         std::function<bool(const std::string& id, std::uint64_t& done, std::uint64_t& running)>
             progress;
@@ -37,6 +39,9 @@
     void submit(const net::Request& request, net::Responder responder);
     void query(const std::string& id, net::Responder responder);
     void cancel(const std::string& id, int tries, net::Responder responder);
+    // Sends and counts. `since`: when the request came.
+    void answer(const char* request, Millis since, const net::Responder& responder,
+                const net::Response& response);
     void answer_known(const std::string& id, const wire::Json& record, const net::Responder& r);
 
     const wire::Settings& settings_;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include "admin/options.h"
 #include "jobs/desk.h"
 #include "wire/messages.h"
 #include "wire/settings.h"
@@ -180,4 +181,26 @@
               "");
 }
 
+TEST(Admin, SettingsAreCheckedAndStored) {
+    admin::Options options;
+    std::string error;
+    EXPECT_EQ(admin::find_option("rules"), nullptr);
+    const admin::Option* lent = admin::find_option("lent_machines");
+    ASSERT_NE(lent, nullptr);
+    EXPECT_TRUE(admin::set_option(options, *lent, 3, error));
+    for (const Json& bad :
+         {Json(-1), Json(2.5), Json(17), Json("many"), Json(NAN), Json(nullptr)}) {
+        error.clear();
+        EXPECT_FALSE(admin::set_option(options, *lent, bad, error)) << bad;
+        EXPECT_NE(error.find("from 0 to 16"), std::string::npos);
+    }
+    EXPECT_EQ(options.lent_machines, 3);
+    Json record = admin::options_json(options);
+    record["use_spot"] = 5;        // out of range in a record: passed over
+    record["of_later"] = "value";  // of another version
+    admin::Options back = admin::read_options(record);
+    EXPECT_EQ(back.lent_machines, 3);
+    EXPECT_EQ(back.use_spot, admin::Options{}.use_spot);
+}
+
 }  // namespace
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -144,7 +144,9 @@
         settings_, dispatch::TermInfo{term_, "lead/term", keys_["lead/term"].version}, outbox,
         now_);
     n.book->load_types(types_);
-    n.book->set_share(share_);
+    admin::Options options;
+    options.lent_machines = share_;
+    n.book->set_options(options);
     for (auto& [key, stored] : keys_) {
         std::uint32_t b = 0;
         if (!blocks::parse_block_key(key, b)) continue;
