--- a/src/admin/options.h
+++ b/src/admin/options.h
@@ -11,6 +11,7 @@
 struct Options {
     double lent_machines = 2;  // to each other controller
     double spare_boots = 2.5;  // whole machines kept for what arrives within so many boot times
+    double hire_boots = 1;     // and hired ahead of them
     double use_spot = 1;       // 0: hire ordinary machines only
 };
 
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -183,7 +183,15 @@
     j.accepted_event = j.links.add_event({});
     j.cancelled_event = j.links.add_event({.forcible = true});
     j.links.submit(j.accepted_event);
-    if (whole(j)) whole_arrivals_.arrived(j.spec.tasks, j.accepted_at);
+    if (whole(j)) {
+        whole_arrivals_.arrived(j.spec.tasks, j.accepted_at);
+        for (Index t = 0; t < types_.size(); ++t) {
+            const wire::MachineType& type = types_[t];
+            if (t >= j.allowed_type.size() || j.allowed_type[t] == 0) continue;
+            if (placing::covers(type.cpus, type.gpus, type.memory_gb, placing::need_of(j)))
+                whole_type_ = t;
+        }
+    }
     jobs_.emplace(j.spec.id, std::move(owned));
     if (record.cancelled) {
         j.links.submit(j.cancelled_event);
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -142,6 +142,31 @@
             --tasks;
         }
     }
+    // Machines for gangs that are likely to come before another could boot.
+    if (whole_type_ != kNone) {
+        double likely =
+            whole_arrivals_.within(types_[whole_type_].boot_s * options_.hire_boots, now);
+        std::size_t ready = spare_;
+        for (const Bin& b : bins) {
+            const wire::MachineType& t = types_[b.type];
+            if (!b.spot && b.gpus >= t.gpus && b.cpus >= t.cpus) ++ready;
+        }
+        std::map<Index, std::size_t> in_zone;
+        for (Machine* m : roster_.all()) ++in_zone[m->zone];
+        for (auto lacking = static_cast<std::size_t>(std::floor(likely)); lacking > ready;
+             --lacking) {
+            std::optional<Index> best;
+            for (const std::string& name : types_[whole_type_].zones) {
+                Index z = zone_names_.find(name);
+                auto it = offers_.find({whole_type_, z, false});
+                if (it != offers_.end() && now < it->second.blocked_until) continue;
+                if (!best || in_zone[z] < in_zone[*best]) best = z;
+            }
+            if (!best) break;
+            ++wanted[{whole_type_, *best, false}];
+            ++in_zone[*best];
+        }
+    }
     for (const auto& [kind, n] : wanted) {
         auto [t, z, spot] = kind;
         hire(t, z, spot, std::min(n, kMostHire), now);
