--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -312,7 +312,7 @@
 // boots.
 Millis Dispatcher::idle_keep(const Machine& m) const {
     double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
-    if (m.spot) return seconds(boot);
+    if (m.spot) return seconds(2 * boot);
     return spare_ > spare_wanted_ ? seconds(kIdleSurplus) : seconds(20 * boot);
 }
 
