--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -309,6 +309,7 @@
     };
     std::vector<Learned> learned_;              // by class
     fleet::Forecast whole_arrivals_;            // tasks that want most of a machine, at once
+    fleet::Forecast pressing_arrivals_;         // those of them that cannot wait for a boot
     Index whole_type_ = kNone;                  // what the last of them would run on
     std::size_t spare_wanted_ = 0, spare_ = 0;  // machines that such tasks could have at once
     Millis next_consolidation_ = 0;
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -185,11 +185,21 @@
     j.links.submit(j.accepted_event);
     if (whole(j)) {
         whole_arrivals_.arrived(j.spec.tasks, j.accepted_at);
-        for (Index t = 0; t < types_.size(); ++t) {
+        for (Index t = 0; t < types_.size() && t < j.allowed_type.size(); ++t) {
             const wire::MachineType& type = types_[t];
-            if (t >= j.allowed_type.size() || j.allowed_type[t] == 0) continue;
-            if (placing::covers(type.cpus, type.gpus, type.memory_gb, placing::need_of(j)))
-                whole_type_ = t;
+            if (j.allowed_type[t] == 0 ||
+                !placing::covers(type.cpus, type.gpus, type.memory_gb, placing::need_of(j))) {
+                continue;
+            }
+            bool pressing = std::any_of(
+                settings_.objectives.begin(), settings_.objectives.end(), [&](const auto& o) {
+                    return o.kind == wire::Objective::Kind::wait &&
+                           o.job_class == j.spec.job_class && o.within_s < type.boot_s;
+                });
+            if (!pressing) continue;
+            whole_type_ = t;
+            pressing_arrivals_.arrived(j.spec.tasks, j.accepted_at);
+            break;
         }
     }
     jobs_.emplace(j.spec.id, std::move(owned));
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -145,7 +145,7 @@
     // Machines for gangs that are likely to come before another could boot.
     if (whole_type_ != kNone) {
         double likely =
-            whole_arrivals_.within(types_[whole_type_].boot_s * options_.hire_boots, now);
+            pressing_arrivals_.within(types_[whole_type_].boot_s * options_.hire_boots, now);
         std::size_t ready = spare_;
         for (const Bin& b : bins) {
             const wire::MachineType& t = types_[b.type];
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -113,7 +113,6 @@
     // Gangs: all members share the attempt's number.
     std::uint32_t gang_attempt = 0;
     bool gang_broken = false;  // the running attempt must end before the next
-    Millis gang_stop_at = 0;
 
     // Trouble.
     std::vector<Index> failed_on;  // machines on which a task ended in error
