--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -19,6 +19,7 @@
 constexpr Millis kCommit = 2500;
 constexpr Millis kTypesEvery = 30'000;
 constexpr Millis kTypesRetry = 2'000;
+constexpr Millis kSilent = 30'000;  // watches are answered more often
 constexpr Millis kTellEvery = 1000;
 constexpr std::size_t kMostShown = 1000;
 constexpr Millis kPruneEvery = 10'000;
@@ -435,7 +436,9 @@
                       {"leader", election_.leader()},
                       {"leadership", leadership::name(election_.state())},
                       {"ready", ready()},
-                      {"state_service", state_served() ? "answers" : "refuses"}};
+                      {"state_service", !state_served()                          ? "refuses"
+                                        : now() - state_.last_answer() < kSilent ? "answers"
+                                                                                 : "is silent"}};
     if (book_ == Book::running) out["book"] = dispatcher_->overview(now());
     return out;
 }
