--- a/src/links/links.cpp
+++ b/src/links/links.cpp
@@ -340,10 +340,4 @@
     return out;
 }
 
-void Links::withdraw(Event e) {
-    if (events_[e].fate != Fate::open) return;
-    events_[e].arrival = 0;
-    std::erase(pending_, e);
-}
-
 }  // namespace nickelramp::links
--- a/src/links/links.h
+++ b/src/links/links.h
@@ -54,15 +54,9 @@
     Outcome submit(Event e);
     // The event can no longer be submitted (the paper's termination event).
     Outcome terminate(Event e);
-    // Makes a forcible event happen, and what it needs.
-    Outcome force(Event e) { return submit(e); }
-
-    // A submission that nothing has decided yet is taken back.
-    void withdraw(Event e);
 
     Fate fate(Event e) const { return events_[e].fate; }
     bool pending(Event e) const { return events_[e].arrival != 0 && events_[e].fate == Fate::open; }
-    const std::vector<Event>& pending_events() const { return pending_; }
     std::size_t automata() const { return live_automata_; }
 
   private:
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -37,7 +37,6 @@
     // `done` is called exactly once, never from inside this call, unless the client is destroyed.
     void request(const char* method, const std::string& target, std::string body, Millis timeout,
                  Done done);
-    std::size_t queued() const { return queue_.size(); }
 
   private:
     friend class ClientConnection;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -162,7 +162,6 @@
 }
 
 const char* final_name(JobStatus status) { return kStatuses[static_cast<std::size_t>(status)]; }
-const char* name(TaskPhase p) { return kPhases[static_cast<std::size_t>(p)]; }
 const char* name(ExitCause c) { return kCauses[static_cast<std::size_t>(c)]; }
 
 std::optional<Report> parse_report(const Json& body) {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -52,7 +52,6 @@
     busy,
     unknown
 };
-const char* name(TaskPhase p);
 const char* name(ExitCause c);
 
 struct TaskReport {
