--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -23,6 +23,17 @@
 constexpr std::uint64_t kServed = 8'000;  // by the state service, so lately
 constexpr Millis kIdleLease = 8'000;
 constexpr std::size_t kMostJobs = 40;  // lent with one block
+
+// Sets room aside for as many of the tasks left as fit.
+template <typename Room>
+void take_room(Room& r, const Need& need, std::uint32_t& left) {
+    while (left > 0 && placing::covers(r.cpus, r.gpus, r.memory_gb, need)) {
+        r.cpus -= need.cpus;
+        r.gpus -= need.gpus;
+        r.memory_gb -= need.memory_gb;
+        --left;
+    }
+}
 }  // namespace
 
 void Dispatcher::peer_heard(const peers::Status& s, Millis now) {
@@ -113,13 +124,7 @@
         std::uint32_t left = j.spec.tasks;
         for (Room& r : room) {
             Machine* m = roster_.at(r.machine);
-            if (m == nullptr || !allowed(j, *m)) continue;
-            while (left > 0 && placing::covers(r.cpus, r.gpus, r.memory_gb, need)) {
-                r.cpus -= need.cpus;
-                r.gpus -= need.gpus;
-                r.memory_gb -= need.memory_gb;
-                --left;
-            }
+            if (m != nullptr && allowed(j, *m)) take_room(r, need, left);
         }
         if (left > 0) continue;
         l.room = room;
@@ -156,14 +161,7 @@
         if (other == nullptr) continue;
         Need need = placing::need_of(*other);
         std::uint32_t left = other->spec.tasks;
-        for (Room& r : l.room) {
-            while (left > 0 && placing::covers(r.cpus, r.gpus, r.memory_gb, need)) {
-                r.cpus -= need.cpus;
-                r.gpus -= need.gpus;
-                r.memory_gb -= need.memory_gb;
-                --left;
-            }
-        }
+        for (Room& r : l.room) take_room(r, need, left);
     }
 }
 
