--- /dev/null
+++ b/src/app/node.cpp
@@ -0,0 +1,396 @@
+#include "app/node.h"
+
+#include <spdlog/spdlog.h>
+
+#include <random>
+
+#include "net/address.h"
+
+namespace nickelramp::app {
+
+namespace {
+constexpr Millis kTick = 200;
+constexpr Millis kOpenWait = 2000;  // a watch is renewed this often, so that the view's age is known
+constexpr Millis kLoadRetry = 500;
+constexpr Millis kDirect = 2000;
+constexpr Millis kCommit = 2500;
+constexpr Millis kTypesEvery = 30'000;
+constexpr Millis kTypesRetry = 2'000;
+constexpr Millis kPruneEvery = 10'000;
+constexpr Millis kRest = 20'000;  // after handing over
+constexpr const char* kTypesKey = "fleet/types";
+
+state::Limits share_of(const wire::Settings& s) {
+    // The budget is one for all controllers. Their needs differ by the moment: each may use half, and
+    // a 429 slows it down.
+    return {s.state_rps * 0.5, s.state_write_rps * 0.5};
+}
+
+std::uint64_t seed_of(const std::string& name) {
+    std::random_device device;
+    return std::hash<std::string>{}(name) ^ (static_cast<std::uint64_t>(device()) << 16);
+}
+}  // namespace
+
+Node::Node(uv_loop_t* loop, const wire::Settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      server_(loop, settings.max_sockets * 7 / 10,
+              [this](const net::Request& q, net::Responder r) { handle(q, std::move(r)); }),
+      state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings)),
+      cloud_(loop, *net::parse_address(settings.cloud), settings.cloud, settings.cloud_rps),
+      desk_(settings, state_,
+            {[this] { return wall_ms(); },
+             [this](const std::string& id, std::uint64_t& done, std::uint64_t& running) {
+                 if (!dispatcher_) return false;
+                 auto p = dispatcher_->progress(id);
+                 done = p.done;
+                 running = p.running;
+                 return p.known;
+             }}),
+      election_(loop, state_, settings.name, seed_of(settings.name),
+                {[this](std::uint64_t term, std::uint64_t version) { elected(term, version); },
+                 [this] {
+                     if (dispatcher_) dispatcher_->set_confirmed(false);
+                 },
+                 [this] {
+                     if (dispatcher_) dispatcher_->set_confirmed(true);
+                 },
+                 [this](const std::string&) { end_term(); },
+                 [](const std::string& leader) {
+                     spdlog::info("leader: {}", leader.empty() ? "none" : leader);
+                 }}),
+      tick_timer_(loop, [this] { tick(); }),
+      hosts_timer_(loop, [this] { poll_hosts(); }),
+      types_timer_(loop, [this] { poll_types(); }),
+      load_timer_(loop, [this] { load(); }),
+      close_timer_(loop,
+                   [this] {
+                       dispatcher_.reset();
+                       workers_.clear();
+                       if (book_ == Book::closing) set_book(Book::idle);
+                   }),
+      watch_timer_(loop, [this] { watch_open(); }) {}
+
+int Node::start() {
+    int rc = server_.listen(*net::parse_address(settings_.listen));
+    if (rc < 0) return rc;
+    election_.start();
+    tick_timer_.every(kTick);
+    state_.get(kTypesKey, state::Urgency::control, 2000, [this](const state::GetReply& r) {
+        if (r.outcome == state::Outcome::ok && types_.empty()) {
+            if (auto types = wire::parse_types(r.item.value)) {
+                types_stored_ = true;
+                got_types(*types, false);
+            }
+        }
+        poll_types();
+    });
+    return 0;
+}
+
+std::int64_t Node::wall_ms() const {
+    uv_timeval64_t tv{};
+    uv_gettimeofday(&tv);
+    return tv.tv_sec * 1000 + tv.tv_usec / 1000;
+}
+
+bool Node::ready() const { return desk_.has_types(); }
+
+void Node::handle(const net::Request& request, net::Responder responder) {
+    if (request.path == "/checkin") {
+        if (request.method != "POST") responder.send({405, "", 0, "application/cbor"});
+        else checkin(request, responder);
+        return;
+    }
+    if (request.path == "/ready") {
+        bool ok = ready();
+        responder.send({ok ? 200 : 503, wire::encode({{"ready", ok}}), 0, "application/cbor"});
+        return;
+    }
+    if (desk_.handle(request, responder)) return;
+    responder.send({404, wire::encode({{"error", "no such path"}}), 0, "application/cbor"});
+}
+
+void Node::checkin(const net::Request& request, const net::Responder& responder) {
+    auto redirect = [&] {
+        const std::string& leader = election_.leader();
+        if (leader.empty() || leader == settings_.name) {
+            responder.send({503, "", 1, "application/cbor"});
+        } else {
+            responder.send({421, wire::redirect(leader), 0, "application/cbor"});
+        }
+    };
+    if (book_ != Book::running) {
+        redirect();
+        return;
+    }
+    auto body = wire::decode_map(request.body);
+    auto report = body ? wire::parse_report(*body) : std::nullopt;
+    if (!report) {
+        responder.send({400, "", 0, "application/cbor"});
+        return;
+    }
+    // Whoever cannot know of a cancellation must let the leases run out in time.
+    if (now() - view_fresh_ > dispatch::answer_bound(settings_)) {
+        responder.send({503, "", 1, "application/cbor"});
+        return;
+    }
+    auto answer = dispatcher_->on_checkin(*report, now());
+    if (answer.status == 200) {
+        responder.send({200, wire::report_answer(answer.token, answer.commands), 0, "application/cbor"});
+    } else if (answer.status == 421) {
+        responder.send({421, wire::redirect(""), 0, "application/cbor"});
+    } else {
+        responder.send({answer.status, "", 0, "application/cbor"});
+    }
+}
+
+// --- the term -------------------------------------------------------------------------------------
+
+void Node::elected(std::uint64_t term, std::uint64_t version) {
+    ++generation_;
+    term_ = term;
+    term_version_ = version;
+    close_timer_.stop();
+    dispatcher_.reset();
+    workers_.clear();
+    set_book(Book::loading);
+    load();
+}
+
+void Node::load() {
+    if (book_ != Book::loading) return;
+    if (types_.empty()) {
+        load_timer_.after(kLoadRetry);
+        return;
+    }
+    // Records of this kind change only on condition of the term, except that users add jobs and
+    // cancel them: the watch goes on from before.
+    auto g = generation_;
+    Millis began = now();
+    state_.list("open/", state::Urgency::control, [this, g, began](state::ListReply open) {
+        if (g != generation_ || book_ != Book::loading) return;
+        if (open.outcome != state::Outcome::ok) return load_failed();
+        state_.list("run/", state::Urgency::control, [this, g, began, open](state::ListReply run) {
+            if (g != generation_ || book_ != Book::loading) return;
+            if (run.outcome != state::Outcome::ok) return load_failed();
+            state_.list("block/", state::Urgency::control,
+                        [this, g, began, open, run](state::ListReply block) {
+                            if (g != generation_ || book_ != Book::loading) return;
+                            if (block.outcome != state::Outcome::ok) return load_failed();
+                            open_revision_ = open.revision;
+                            view_fresh_ = began;
+                            dispatch::Outbox& outbox = *this;
+                            dispatcher_ = std::make_unique<dispatch::Dispatcher>(
+                                settings_,
+                                dispatch::TermInfo{term_, leadership::kTermKey, term_version_}, outbox,
+                                now());
+                            auto& d = *dispatcher_;
+                            d.load_types(types_);
+                            for (const auto& i : block.items) {
+                                std::uint32_t n = 0;
+                                auto b = blocks::read_block(i.value);
+                                if (!b || !blocks::parse_block_key(i.key, n)) continue;
+                                b->version = i.version;
+                                d.load_block(n, std::move(*b));
+                            }
+                            for (const auto& i : open.items) {
+                                if (auto r = jobs::read_open(i.value)) d.load_job(*r, i.version, wall_ms(), now());
+                                else spdlog::error("record {} cannot be read", i.key);
+                            }
+                            for (const auto& i : run.items) {
+                                std::string id;
+                                std::uint32_t chunk = 0;
+                                auto r = jobs::read_run(i.value);
+                                if (r && jobs::parse_run_key(i.key, id, chunk)) {
+                                    d.load_run(id, chunk, *r, i.version, now());
+                                } else {
+                                    spdlog::error("record {} cannot be read", i.key);
+                                }
+                            }
+                            spdlog::info("term {}: {} open jobs, {} run records, {} blocks", term_,
+                                         open.items.size(), run.items.size(), block.items.size());
+                            loaded();
+                        });
+        });
+    });
+}
+
+void Node::load_failed() { load_timer_.after(kLoadRetry); }
+
+void Node::loaded() {
+    set_book(Book::running);
+    dispatcher_->set_confirmed(election_.state() == leadership::State::leading);
+    dispatcher_->start(now());
+    watch_open();
+    poll_hosts();
+    remember_types();
+}
+
+void Node::end_term() {
+    if (book_ == Book::idle) return;
+    ++generation_;
+    set_book(Book::closing);
+    // Not at once: the book may be in the middle of something.
+    close_timer_.after(0);
+}
+
+void Node::deposed(const std::string& why) { election_.step_down(why, 0); }
+
+void Node::watch_open() {
+    if (book_ != Book::running) return;
+    auto g = generation_;
+    Millis sent = now();
+    state_.watch("open/", open_revision_, kOpenWait, [this, g, sent](state::ListReply r) {
+        if (g != generation_ || book_ != Book::running) return;
+        if (r.outcome == state::Outcome::expired) {
+            // Too far behind: read all of them again.
+            Millis began = now();
+            state_.list("open/", state::Urgency::control, [this, g, began](state::ListReply all) {
+                if (g != generation_ || book_ != Book::running) return;
+                if (all.outcome == state::Outcome::ok) {
+                    for (const auto& i : all.items) {
+                        if (auto rec = jobs::read_open(i.value)) {
+                            dispatcher_->on_open_record(*rec, i.version, wall_ms(), now());
+                        }
+                    }
+                    open_revision_ = all.revision;
+                    view_fresh_ = std::max(view_fresh_, began);
+                }
+                watch_timer_.after(all.outcome == state::Outcome::ok ? 0 : kLoadRetry);
+            });
+            return;
+        }
+        if (r.outcome != state::Outcome::ok) {
+            watch_timer_.after(kLoadRetry);
+            return;
+        }
+        view_fresh_ = std::max(view_fresh_, sent);
+        open_revision_ = std::max(open_revision_, r.revision);
+        for (const auto& i : r.items) {
+            if (i.deleted) continue;
+            if (auto rec = jobs::read_open(i.value)) {
+                dispatcher_->on_open_record(*rec, i.version, wall_ms(), now());
+            }
+        }
+        if (!r.items.empty()) dispatcher_->tick(now());
+        watch_open();
+    });
+}
+
+void Node::tick() {
+    if (book_ != Book::running) return;
+    dispatcher_->tick(now());
+    if (dispatcher_->cut_off(now())) {
+        if (blind_since_ == 0) blind_since_ = now();
+        if (now() - blind_since_ > seconds(2 * settings_.report_s) &&
+            election_.state() == leadership::State::leading) {
+            blind_since_ = 0;
+            election_.step_down("most machines are out of reach", kRest);
+            return;
+        }
+    } else {
+        blind_since_ = 0;
+    }
+    if (now() >= prune_at_) {
+        prune_at_ = now() + kPruneEvery;
+        std::unordered_map<std::string, bool> alive;
+        for (const auto* m : dispatcher_->roster().all()) alive[m->name] = true;
+        std::erase_if(workers_, [&](const auto& w) { return alive.count(w.first) == 0; });
+    }
+}
+
+// --- cloud ----------------------------------------------------------------------------------------
+
+void Node::poll_hosts() {
+    if (book_ != Book::running) return;
+    auto g = generation_;
+    cloud_.hosts([this, g](const std::optional<std::vector<wire::Host>>& hosts) {
+        if (g != generation_ || book_ != Book::running) return;
+        if (hosts) dispatcher_->on_hosts(*hosts, now());
+        hosts_timer_.after(std::max<Millis>(4000, seconds(settings_.list_lag_s)));
+    });
+}
+
+void Node::poll_types() {
+    if (!types_.empty() && book_ != Book::running) {
+        types_timer_.after(kTypesEvery);
+        return;
+    }
+    cloud_.types([this](const std::optional<std::vector<wire::MachineType>>& types) {
+        if (types) got_types(*types, true);
+        types_timer_.after(types ? kTypesEvery : kTypesRetry);
+    });
+}
+
+void Node::got_types(const std::vector<wire::MachineType>& types, bool from_cloud) {
+    types_ = types;
+    desk_.set_types(types_);
+    if (dispatcher_ && book_ == Book::running) dispatcher_->load_types(types_);
+    if (from_cloud) remember_types();
+}
+
+// A controller that starts while the cloud is down finds the types in the state service.
+void Node::remember_types() {
+    if (types_stored_ || types_.empty() || book_ != Book::running) return;
+    types_stored_ = true;
+    state::Txn txn;
+    txn.writes = {{kTypesKey, wire::types_json(types_), 0}};
+    state_.commit(txn, state::Urgency::work, kCommit, [this](const state::CommitReply& r) {
+        if (r.outcome != state::Outcome::ok) types_stored_ = false;
+    });
+}
+
+// --- outbox ---------------------------------------------------------------------------------------
+
+void Node::commit(state::Txn txn, std::function<void(Millis, const state::CommitReply&)> done) {
+    state_.commit(txn, state::Urgency::work, kCommit,
+                  [this, done = std::move(done)](const state::CommitReply& r) { done(now(), r); });
+}
+
+void Node::read(const std::string& key, std::function<void(Millis, const state::GetReply&)> done) {
+    state_.get(key, state::Urgency::work, kCommit,
+               [this, done = std::move(done)](const state::GetReply& r) { done(now(), r); });
+}
+
+void Node::direct(const std::string& machine, const std::string& address, std::uint64_t token,
+                  std::uint64_t session, const std::vector<wire::Command>& commands,
+                  std::function<void(Millis, const dispatch::DirectReply&)> done) {
+    auto& client = workers_[machine];
+    if (!client) {
+        auto parsed = net::parse_address(address);
+        if (!parsed) {
+            spdlog::error("machine {} has no usable address: {}", machine, address);
+            workers_.erase(machine);
+            return;  // stays in flight: nothing can be sent to it
+        }
+        client = std::make_unique<net::HttpClient>(loop_, *parsed, address, 1, 4);
+    }
+    client->request("POST", "/commands", wire::direct_commands(token, session, commands), kDirect,
+                    [this, done = std::move(done)](const net::Reply& r) {
+                        dispatch::DirectReply out;
+                        if (r.outcome == net::Reply::Outcome::refused) {
+                            out.delivery = dispatch::Delivery::refused;
+                        } else if (r.outcome == net::Reply::Outcome::answered &&
+                                   (r.status == 200 || r.status == 409)) {
+                            auto body = wire::decode_map(r.body);
+                            out.report = body ? wire::parse_report(*body) : std::nullopt;
+                            if (out.report) out.delivery = dispatch::Delivery::answered;
+                            out.executed = r.status == 200;
+                        }
+                        done(now(), out);
+                    });
+}
+
+void Node::hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+                std::uint32_t count, std::function<void(Millis, const dispatch::HireReply&)> done) {
+    cloud_.hire(request, type, zone, spot, count,
+                [this, done = std::move(done)](const dispatch::HireReply& r) { done(now(), r); });
+}
+
+void Node::give_back(const std::vector<std::string>& machines, std::function<void(Millis, bool)> done) {
+    cloud_.give_back(machines, [this, done = std::move(done)](bool ok) { done(now(), ok); });
+}
+
+}  // namespace nickelramp::app
--- /dev/null
+++ b/src/app/node.h
@@ -0,0 +1,90 @@
+// One controller: sockets, clients and timers around the slices.
+#pragma once
+#include <uv.h>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "dispatch/dispatcher.h"
+#include "fleet/cloud.h"
+#include "jobs/desk.h"
+#include "leadership/term.h"
+#include "net/http_server.h"
+#include "state/client.h"
+#include "wire/settings.h"
+
+namespace nickelramp::app {
+
+class Node : private dispatch::Outbox {
+  public:
+    Node(uv_loop_t* loop, const wire::Settings& settings);
+
+    // 0 or a libuv error.
+    int start();
+
+  private:
+    // idle:     does not lead
+    // loading:  elected, reading the records
+    // running:  the dispatcher decides
+    // closing:  the term is over; its book is put away at the next turn
+    enum class Book { idle, loading, running, closing };
+    void set_book(Book b) { book_ = b; }
+
+    void handle(const net::Request& request, net::Responder responder);
+    void checkin(const net::Request& request, const net::Responder& responder);
+    bool ready() const;
+
+    void elected(std::uint64_t term, std::uint64_t version);
+    void load();
+    void loaded();
+    void load_failed();
+    void end_term();
+    void watch_open();
+    void tick();
+    void poll_hosts();
+    void poll_types();
+    void remember_types();
+    void got_types(const std::vector<wire::MachineType>& types, bool from_cloud);
+
+    // Outbox
+    void commit(state::Txn txn, std::function<void(Millis, const state::CommitReply&)> done) override;
+    void read(const std::string& key,
+              std::function<void(Millis, const state::GetReply&)> done) override;
+    void direct(const std::string& machine, const std::string& address, std::uint64_t token,
+                std::uint64_t session, const std::vector<wire::Command>& commands,
+                std::function<void(Millis, const dispatch::DirectReply&)> done) override;
+    void hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+              std::uint32_t count,
+              std::function<void(Millis, const dispatch::HireReply&)> done) override;
+    void give_back(const std::vector<std::string>& machines,
+                   std::function<void(Millis, bool)> done) override;
+    void deposed(const std::string& why) override;
+
+    Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
+    std::int64_t wall_ms() const;
+
+    uv_loop_t* loop_;
+    const wire::Settings& settings_;
+    net::HttpServer server_;
+    state::Client state_;
+    fleet::Cloud cloud_;
+    jobs::Desk desk_;
+    leadership::Election election_;
+    net::Timer tick_timer_, hosts_timer_, types_timer_, load_timer_, close_timer_, watch_timer_;
+
+    std::vector<wire::MachineType> types_;
+    bool types_stored_ = false;
+
+    Book book_ = Book::idle;
+    std::unique_ptr<dispatch::Dispatcher> dispatcher_;
+    std::uint64_t generation_ = 0;  // of terms; late answers of an earlier one are dropped
+    std::uint64_t term_ = 0, term_version_ = 0;
+    std::uint64_t open_revision_ = 0;
+    Millis view_fresh_ = 0;  // every cancellation up to then is known
+    Millis blind_since_ = 0;
+    std::unordered_map<std::string, std::unique_ptr<net::HttpClient>> workers_;
+    Millis prune_at_ = 0;
+};
+
+}  // namespace nickelramp::app
--- /dev/null
+++ b/src/dispatch/attempts.cpp
@@ -0,0 +1,245 @@
+// The life of an attempt: placed, sent, seen, over. Every start and every end passes the links.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dispatch/dispatcher.h"
+
+namespace nickelramp::dispatch {
+
+using jobs::JobState;
+using wire::ExitCause;
+
+namespace {
+constexpr Millis kBackOffFirst = 10'000;
+constexpr Millis kBackOffMost = 120'000;
+constexpr Millis kProbation = 30'000;
+constexpr std::size_t kJobAtFault = 3;      // machines a job has failed on
+constexpr std::size_t kMachineAtFault = 2;  // jobs that have failed on a machine
+}  // namespace
+
+void Dispatcher::set_attempt_state(Attempt& a, AttemptState s, Millis now) {
+    if (a.state == s) return;
+    spdlog::debug("task {}/{} try {}: {} -> {}", job_of(a).spec.id, a.task, a.number, name(a.state),
+                  name(s));
+    a.set_state(s);
+    if (s == AttemptState::running && a.running_since == 0) a.running_since = now;
+}
+
+void Dispatcher::occupy(Attempt& a, Job& j, Machine& m) {
+    m.cpus_free -= j.spec.cpus;
+    m.gpus_free -= j.spec.gpus;
+    m.memory_free -= j.spec.memory_gb;
+    m.attempts.push_back(&a);
+    teams_[j.team].cpus += j.spec.cpus;
+    teams_[j.team].gpus += j.spec.gpus;
+    ++j.live;
+}
+
+void Dispatcher::release(Attempt& a, Job& j) {
+    if (Machine* m = machine_of(a)) {
+        m->cpus_free += j.spec.cpus;
+        m->gpus_free += j.spec.gpus;
+        m->memory_free += j.spec.memory_gb;
+    }
+    teams_[j.team].cpus -= j.spec.cpus;
+    teams_[j.team].gpus -= j.spec.gpus;
+    --j.live;
+    dirty_ = true;
+}
+
+// start(t,n) asks the automata: after acceptance, never after a cancel, and only once every earlier
+// attempt of the same task (of the whole gang, for a gang) is gone.
+bool Dispatcher::link_start(Job& j, Attempt& a) {
+    using links::Links;
+    auto& l = j.links;
+    a.start_event = l.add_event({.rejectable = true, .delayable = true});
+    a.gone_event = l.add_event({});
+    l.add(Links::Kind::order, j.accepted_event, a.start_event);
+    l.add(Links::Kind::existence, a.start_event, j.accepted_event);
+    l.add(Links::Kind::order, a.start_event, j.cancelled_event);
+    for (const auto& other : j.attempts) {
+        if (other.get() == &a || other->gone_event == kNone) continue;
+        bool earlier = j.gang() ? other->number != a.number : other->task == a.task;
+        if (!earlier) continue;
+        l.add(Links::Kind::existence, a.start_event, other->gone_event);
+        l.add(Links::Kind::order, other->gone_event, a.start_event);
+    }
+    return l.submit(a.start_event).answer == links::Answer::accepted;
+}
+
+Dispatcher::Attempt* Dispatcher::place(Job& j, std::uint32_t task, std::uint32_t number, Machine& m,
+                                       Millis now) {
+    auto owned = std::make_unique<Attempt>();
+    Attempt& a = *owned;
+    a.job = j.index;
+    a.task = task;
+    a.number = number;
+    a.machine = m.index;
+    a.placed_at = now;
+    if (!link_start(j, a)) {
+        spdlog::error("task {}/{} try {}: not released by its links", j.spec.id, task, number);
+        j.links.remove_event(a.start_event);
+        j.links.remove_event(a.gone_event);
+        return nullptr;
+    }
+    spdlog::debug("task {}/{} try {}: placed on {}", j.spec.id, task, number, m.name);
+    occupy(a, j, m);
+    j.attempts.push_back(std::move(owned));
+    j.chunks[task / jobs::kChunkTasks].dirty = true;
+    if (m.reserved_for == j.index) m.reserved_for = kNone;
+    placing::touch_image(m, types_[m.type], j.image, j.spec.image_gb, false, now);
+    return &a;
+}
+
+// Takes back an attempt whose start was never sent.
+void Dispatcher::unplace(Attempt& a, Millis now) { proven_gone(a, now); }
+
+void Dispatcher::proven_gone(Attempt& a, Millis now) {
+    Job& j = job_of(a);
+    if (a.live()) {
+        spdlog::debug("task {}/{} try {}: gone ({})", j.spec.id, a.task, a.number, name(a.state));
+        release(a, j);
+        a.set_state(AttemptState::exited);
+        over(j, a, now);
+    }
+    std::string id = j.spec.id;
+    erase(a);
+    maybe_drop(id);
+}
+
+// The worker says that it has ended. It stays listed until the worker has forgotten it.
+void Dispatcher::exited(Attempt& a, ExitCause cause, Millis now) {
+    if (!a.live()) return;
+    Job& j = job_of(a);
+    Machine* m = machine_of(a);
+    spdlog::debug("task {}/{} try {}: exited, {}", j.spec.id, a.task, a.number, wire::name(cause));
+    release(a, j);
+    a.cause = cause;
+    set_attempt_state(a, AttemptState::exited, now);
+    if (cause == ExitCause::done) {
+        if (m != nullptr) m->failed_jobs.clear();
+        if (j.done_dirty_since == 0) j.done_dirty_since = now;
+        if (j.gang()) {
+            // They complete together: if one is done, all are.
+            for (std::uint32_t t = 0; t < j.spec.tasks; ++t) j.mark_done(t);
+        } else {
+            j.mark_done(a.task);
+        }
+    } else if (cause == ExitCause::error && m != nullptr) {
+        note_error(j, *m, now);
+    } else if (cause == ExitCause::unknown) {
+        j.hold_until = now + kBackOffFirst / 2;
+    } else if ((cause == ExitCause::no_room || cause == ExitCause::busy) && m != nullptr) {
+        // The books and the machine differ; the next report settles it.
+        m->probation_until = std::max(m->probation_until, now + 3000);
+    }
+    over(j, a, now);
+}
+
+// The attempt holds nothing any more: gone(t,n).
+void Dispatcher::over(Job& j, Attempt& a, Millis now) {
+    if (a.gone_event != kNone) {
+        j.links.submit(a.gone_event);
+        j.links.remove_event(a.start_event);
+        j.links.remove_event(a.gone_event);
+        a.start_event = a.gone_event = kNone;
+    }
+    requeue(j, a);
+    if (j.gang()) {
+        if (j.state == JobState::open && j.done == 0 && !j.gang_broken && j.live > 0) break_gang(j, now);
+        if (j.live == 0) j.gang_broken = false;
+    }
+    maybe_finish(j, now);
+}
+
+void Dispatcher::requeue(Job& j, const Attempt& a) {
+    if (j.gang() || j.state != JobState::open || j.is_done(a.task)) return;
+    j.waiting.push_back({a.task, a.number});
+}
+
+void Dispatcher::erase(Attempt& a) {
+    if (Machine* m = machine_of(a)) {
+        std::erase(m->attempts, &a);
+    }
+    auto& list = job_of(a).attempts;
+    auto it = std::find_if(list.begin(), list.end(), [&](const auto& x) { return x.get() == &a; });
+    if (it != list.end()) list.erase(it);
+}
+
+void Dispatcher::want_gone(Attempt& a, double grace_s, Millis now) {
+    if (!a.live()) return;
+    if (a.state == AttemptState::recording || a.state == AttemptState::recorded) {
+        unplace(a, now);
+        return;
+    }
+    if (a.must_go && a.grace_s <= grace_s) return;
+    a.must_go = true;
+    a.grace_s = grace_s;
+    a.told_stop = false;
+    if (Machine* m = machine_of(a)) poke(*m);
+}
+
+void Dispatcher::stop_all(Job& j, Millis now) {
+    // Taking back what was never sent changes the list.
+    std::vector<Attempt*> list;
+    for (const auto& a : j.attempts) list.push_back(a.get());
+    for (Attempt* a : list) want_gone(*a, 0, now);
+}
+
+void Dispatcher::stop_saving(Attempt& a, Millis now) {
+    Job& j = job_of(a);
+    double grace = j.spec.checkpoint_s > 0 ? j.spec.save_s + 1.0 : 0;
+    if (!j.gang()) {
+        want_gone(a, grace, now);
+        return;
+    }
+    std::vector<Attempt*> list;
+    for (const auto& member : j.attempts) list.push_back(member.get());
+    j.gang_broken = true;
+    for (Attempt* member : list) want_gone(*member, grace, now);
+}
+
+void Dispatcher::drain_attempt(Attempt& a, Millis now) {
+    Job& j = job_of(a);
+    if (!a.live() || j.state != JobState::open) return;
+    // Replicas move at once; whoever can save saves; the rest runs on as long as it can.
+    if (j.service() || j.gang() || j.spec.checkpoint_s > 0) stop_saving(a, now);
+}
+
+// A member is gone: the others cannot complete, so the attempt ends as a whole. Those that are
+// saving in an orderly stop go on.
+void Dispatcher::break_gang(Job& j, Millis now) {
+    j.gang_broken = true;
+    std::vector<Attempt*> list;
+    for (const auto& a : j.attempts) {
+        if (a->live() && !(a->must_go && a->grace_s > 0)) list.push_back(a.get());
+    }
+    for (Attempt* a : list) want_gone(*a, 0, now);
+}
+
+// Which is at fault, the machine or the job? A machine that fails several jobs is; a job that fails
+// on several machines is.
+void Dispatcher::note_error(Job& j, Machine& m, Millis now) {
+    auto add = [](std::vector<Index>& list, Index i) {
+        if (std::find(list.begin(), list.end(), i) == list.end()) list.push_back(i);
+    };
+    add(j.failed_on, m.index);
+    add(m.failed_jobs, j.index);
+    spdlog::info("task of {} failed on {} ({} machines failed it, {} jobs failed there)", j.spec.id,
+                 m.name, j.failed_on.size(), m.failed_jobs.size());
+    if (j.failed_on.size() >= kJobAtFault) {
+        j.hold_until = now + std::min(kBackOffMost, kBackOffFirst << std::min(j.back_offs, 6u));
+        ++j.back_offs;
+        // Its failures say nothing about the machines.
+        for (Machine* other : roster_.all()) {
+            std::erase(other->failed_jobs, j.index);
+            if (other->failed_jobs.empty()) other->probation_until = 0;
+        }
+        return;
+    }
+    m.probation_until = now + kProbation;
+    if (m.failed_jobs.size() >= kMachineAtFault) return_machine(m, "fails every task");
+}
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/dispatch/checkpoint.cpp
@@ -0,0 +1,232 @@
+// Checkpoints: what the state service must know before a start goes out.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dispatch/dispatcher.h"
+
+namespace nickelramp::dispatch {
+
+using jobs::JobState;
+
+namespace {
+constexpr Millis kRetry = 250;
+constexpr Millis kDoneDelay = 1500;  // completions wait this long for company
+}  // namespace
+
+bool Dispatcher::needs_commit(const Job& j, Millis now) const {
+    if (j.commit_in_flight || now < j.retry_commit_at || j.state == JobState::finished) return false;
+    if (j.state != JobState::open) return false;  // its last transaction says it all
+    for (const auto& a : j.attempts) {
+        if (a->state == AttemptState::recording && a->in_commit == 0) return true;
+    }
+    return j.done_dirty_since != 0 && now - j.done_dirty_since >= kDoneDelay;
+}
+
+// One conditional transaction for one pipeline: its chunks, on condition that this term lasts, that
+// the job is as known (no start after a cancel) and that no late write has touched the records.
+void Dispatcher::commit_job(Job& j, Millis now) {
+    state::Txn txn;
+    txn.conditions = {term_condition(), {jobs::open_key(j.spec.id), j.version}};
+    std::vector<std::uint32_t> written;
+    std::uint64_t serial = ++j.commits;
+    for (auto& [n, c] : j.chunks) {
+        if (!c.dirty) continue;
+        if (c.uncertain) {
+            reread_chunk(j, n);
+            return;
+        }
+        if (written.size() >= settings_.state_txn_ops) break;
+        jobs::RunRecord record;
+        record.done = c.done;
+        std::uint32_t first = n * jobs::kChunkTasks;
+        for (const auto& a : j.attempts) {
+            if (a->task / jobs::kChunkTasks != n || !a->live() || j.is_done(a->task)) continue;
+            Machine* m = machine_of(*a);
+            record.entries.push_back({a->task, a->number, true, m == nullptr ? "" : m->name});
+            if (a->state == AttemptState::recording) a->in_commit = serial;
+        }
+        for (const jobs::Waiting& w : j.waiting) {
+            if (w.task / jobs::kChunkTasks == n && w.last_attempt > 0) {
+                record.entries.push_back({w.task, w.last_attempt, false, ""});
+            }
+        }
+        if (j.gang() && j.live == 0 && j.gang_attempt > 0) {
+            record.entries.push_back({first, j.gang_attempt, false, ""});
+        }
+        txn.conditions.push_back({jobs::run_key(j.spec.id, n), c.version});
+        txn.writes.push_back({jobs::run_key(j.spec.id, n), jobs::run_record(record)});
+        c.dirty = false;
+        c.done_in_commit = c.done;
+        written.push_back(n);
+    }
+    if (written.empty()) {
+        j.done_dirty_since = 0;
+        return;
+    }
+    j.commit_in_flight = true;
+    j.done_dirty_since = 0;
+    (void)now;
+    outbox_.commit(std::move(txn), guarded([this, id = j.spec.id, serial, written](
+                                               Millis t, const state::CommitReply& reply) {
+        on_job_commit(id, serial, written, reply, t);
+    }));
+}
+
+void Dispatcher::on_job_commit(const std::string& id, std::uint64_t serial,
+                               const std::vector<std::uint32_t>& chunks,
+                               const state::CommitReply& reply, Millis now) {
+    Job* found = find_job(id);
+    if (found == nullptr) return;
+    Job& j = *found;
+    j.commit_in_flight = false;
+    if (reply.outcome == state::Outcome::ok) {
+        for (std::uint32_t n : chunks) {
+            j.chunks[n].version = reply.revision;
+            j.chunks[n].done_recorded = j.chunks[n].done_in_commit;
+        }
+        for (const auto& a : j.attempts) {
+            if (a->in_commit != serial || a->state != AttemptState::recording) continue;
+            set_attempt_state(*a, AttemptState::recorded, now);
+            if (Machine* m = machine_of(*a)) poke(*m);
+        }
+        if (j.gang() && gang_recorded(j)) {
+            for (const auto& a : j.attempts) {
+                if (Machine* m = machine_of(*a)) poke(*m);
+            }
+        }
+        maybe_finish(j, now);
+        flush_poked(now);
+        return;
+    }
+    for (std::uint32_t n : chunks) j.chunks[n].dirty = true;
+    if (j.done_dirty_since == 0) j.done_dirty_since = now;
+    for (const auto& a : j.attempts) {
+        if (a->in_commit == serial) a->in_commit = 0;
+    }
+    j.retry_commit_at = now + kRetry;
+    if (reply.outcome == state::Outcome::unknown) {
+        // It may have been applied, or may be later: the next write must know what it builds on.
+        for (std::uint32_t n : chunks) j.chunks[n].uncertain = true;
+    } else if (reply.outcome == state::Outcome::conflict) {
+        for (const std::string& key : reply.failed) {
+            std::string run_id;
+            std::uint32_t n = 0;
+            if (key == term_.key) {
+                if (!deposed_) {
+                    deposed_ = true;
+                    outbox_.deposed("another term has begun");
+                }
+                return;
+            }
+            if (jobs::parse_run_key(key, run_id, n)) j.chunks[n].uncertain = true;
+        }
+        // A changed description arrives with the watch; until then the retry finds the same.
+    } else if (reply.outcome == state::Outcome::broken) {
+        spdlog::error("checkpoint of {} was not understood by the state service", id);
+        j.retry_commit_at = now + 4 * kRetry;
+    }
+    maybe_finish(j, now);
+}
+
+void Dispatcher::reread_chunk(Job& j, std::uint32_t chunk) {
+    j.commit_in_flight = true;
+    outbox_.read(jobs::run_key(j.spec.id, chunk),
+                 guarded([this, id = j.spec.id, chunk](Millis t, const state::GetReply& reply) {
+                     Job* found = find_job(id);
+                     if (found == nullptr) return;
+                     found->commit_in_flight = false;
+                     jobs::Chunk& c = found->chunks[chunk];
+                     if (reply.outcome == state::Outcome::ok) {
+                         c.version = reply.item.version;
+                         c.uncertain = false;
+                     } else if (reply.outcome == state::Outcome::missing) {
+                         c.version = 0;
+                         c.uncertain = false;
+                     } else {
+                         found->retry_commit_at = t + kRetry;
+                     }
+                     if (needs_commit(*found, t)) commit_job(*found, t);
+                     maybe_finish(*found, t);
+                 }));
+}
+
+// Grants are on record before their machines are used.
+void Dispatcher::commit_blocks(Millis now) {
+    if (blocks_in_flight_ || !confirmed_ || now < retry_blocks_at_ || !ledger_.dirty()) return;
+    state::Txn txn;
+    txn.conditions = {term_condition()};
+    auto numbers = ledger_.to_write(settings_.state_txn_ops / 2);
+    std::vector<std::string> members;
+    for (std::uint32_t n : numbers) {
+        blocks::Block& b = ledger_.block(n);
+        if (b.uncertain) {
+            blocks_in_flight_ = true;
+            outbox_.read(blocks::block_key(n), guarded([this, n](Millis t, const state::GetReply& r) {
+                blocks_in_flight_ = false;
+                blocks::Block& again = ledger_.block(n);
+                if (r.outcome == state::Outcome::ok) again.version = r.item.version;
+                else if (r.outcome == state::Outcome::missing) again.version = 0;
+                else {
+                    retry_blocks_at_ = t + kRetry;
+                    return;
+                }
+                again.uncertain = false;
+                commit_blocks(t);
+            }));
+            return;
+        }
+        txn.conditions.push_back({blocks::block_key(n), b.version});
+        txn.writes.push_back({blocks::block_key(n), blocks::block_record(b)});
+        b.dirty = false;
+        for (const blocks::Member& m : b.members) members.push_back(m.name);
+    }
+    blocks_in_flight_ = true;
+    outbox_.commit(std::move(txn), guarded([this, numbers, members](
+                                               Millis t, const state::CommitReply& reply) {
+        blocks_in_flight_ = false;
+        if (reply.outcome == state::Outcome::ok) {
+            for (std::uint32_t n : numbers) ledger_.block(n).version = reply.revision;
+            for (const std::string& name : members) {
+                Machine* m = roster_.find(name);
+                if (m == nullptr) continue;
+                m->granted = true;
+                join(*m, t);
+            }
+            flush_poked(t);
+            commit_blocks(t);
+            if (dirty_ && t >= next_pass_) schedule(t);
+            return;
+        }
+        for (std::uint32_t n : numbers) {
+            blocks::Block& b = ledger_.block(n);
+            b.dirty = true;
+            if (reply.outcome != state::Outcome::refused) b.uncertain = true;
+        }
+        retry_blocks_at_ = t + kRetry;
+        if (reply.outcome == state::Outcome::conflict &&
+            std::find(reply.failed.begin(), reply.failed.end(), term_.key) != reply.failed.end() &&
+            !deposed_) {
+            deposed_ = true;
+            outbox_.deposed("another term has begun");
+        }
+    }));
+}
+
+// Records of jobs that are over, beyond what their last transaction could take.
+void Dispatcher::drop_leftovers(Millis now) {
+    if (leftovers_.empty() || !confirmed_ || now < retry_blocks_at_) return;
+    state::Txn txn;
+    txn.conditions = {term_condition()};
+    while (!leftovers_.empty() && txn.writes.size() < settings_.state_txn_ops / 2) {
+        txn.writes.push_back({leftovers_.back(), std::nullopt});
+        leftovers_.pop_back();
+    }
+    outbox_.commit(txn, guarded([this, txn](Millis t, const state::CommitReply& reply) {
+        if (reply.outcome == state::Outcome::ok || reply.outcome == state::Outcome::conflict) return;
+        for (const state::Write& w : txn.writes) leftovers_.push_back(w.key);
+        retry_blocks_at_ = t + 4 * kRetry;
+    }));
+}
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/dispatch/commands.cpp
@@ -0,0 +1,158 @@
+// Commands to machines: starts go directly, stops and forgets directly and with every answer.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dispatch/dispatcher.h"
+
+namespace nickelramp::dispatch {
+
+using wire::Command;
+
+namespace {
+constexpr Millis kRetryRefused = 700;
+constexpr Millis kRetryUnknown = 200;
+constexpr std::size_t kBatch = 200;  // commands in one message
+}  // namespace
+
+void Dispatcher::poke(Machine& m) {
+    if (std::find(poked_.begin(), poked_.end(), m.index) == poked_.end()) poked_.push_back(m.index);
+}
+
+void Dispatcher::flush_poked(Millis now) {
+    auto list = std::move(poked_);
+    poked_.clear();
+    for (Index i : list) {
+        if (Machine* m = roster_.at(i)) flush(*m, now);
+    }
+}
+
+// Tasks that this book does not know of: left by an earlier term, or over already.
+void Dispatcher::stray_commands(Machine& m, const wire::Report& r, std::vector<Command>& out) {
+    for (const wire::TaskReport& t : r.tasks) {
+        if (out.size() >= kBatch) return;
+        bool known = std::any_of(m.attempts.begin(), m.attempts.end(), [&](const Attempt* a) {
+            return a->number == t.attempt && a->task == t.task && job_of(*a).spec.id == t.job;
+        });
+        if (known) continue;
+        bool exited = t.phase == wire::TaskPhase::exited;
+        if (!exited) spdlog::info("stray task {}/{} try {} on {}", t.job, t.task, t.attempt, m.name);
+        out.push_back({exited ? Command::Op::forget : Command::Op::stop, t.job, t.task, t.attempt, 0});
+    }
+}
+
+// Stops and forgets that hold until a report shows that they were obeyed.
+std::vector<Command> Dispatcher::standing_commands(Machine& m) {
+    std::vector<Command> out;
+    for (Attempt* a : m.attempts) {
+        if (out.size() >= kBatch) break;
+        Job& j = job_of(*a);
+        if (a->live() && a->must_go) {
+            out.push_back({Command::Op::stop, j.spec.id, a->task, a->number, a->grace_s});
+        } else if (!a->live() && settled(*a, m)) {
+            // A completion is forgotten only once it is on record; and never while a start of the
+            // attempt may be under way: it would run again.
+            const jobs::Chunk& c = j.chunks[a->task / jobs::kChunkTasks];
+            bool recorded = j.state == jobs::JobState::finished ||
+                            (c.done_recorded >> (a->task % jobs::kChunkTasks) & 1) != 0;
+            if (a->cause == wire::ExitCause::done && !recorded) continue;
+            out.push_back({Command::Op::forget, j.spec.id, a->task, a->number, 0});
+        }
+    }
+    return out;
+}
+
+void Dispatcher::flush(Machine& m, Millis now) {
+    if (m.direct_in_flight || now < m.retry_direct_at || m.address.empty()) return;
+    if (m.state == MachineState::booting || m.state == MachineState::gone || m.token == 0) return;
+    std::vector<Command> commands;
+    for (Attempt* a : m.attempts) {
+        if (commands.size() >= kBatch) break;
+        Job& j = job_of(*a);
+        if (a->live() && a->must_go && !a->told_stop) {
+            commands.push_back({Command::Op::stop, j.spec.id, a->task, a->number, a->grace_s});
+            a->told_stop = true;
+        } else if (a->state == AttemptState::recorded && confirmed_ && m.confirmed() &&
+                   j.state == jobs::JobState::open) {
+            if (j.gang() && !gang_recorded(j)) continue;
+            commands.push_back({Command::Op::start, j.spec.id, a->task, a->number, 0});
+            set_attempt_state(*a, AttemptState::starting, now);
+            a->token = m.token;
+            a->session = m.session;
+            a->answered_seq = 0;
+        }
+    }
+    if (commands.empty() && !m.wants_confirm) return;
+    m.wants_confirm = false;
+    m.direct_in_flight = true;
+    outbox_.direct(m.name, m.address, m.token, std::max<std::uint64_t>(1, m.session), commands,
+                   guarded([this, name = m.name, token = m.token](Millis t, const DirectReply& reply) {
+                       on_direct(name, token, reply, t);
+                   }));
+}
+
+// Only gangs that are recorded as a whole are started.
+bool Dispatcher::gang_recorded(const Job& j) const {
+    return std::all_of(j.attempts.begin(), j.attempts.end(), [](const auto& a) {
+        return a->state != AttemptState::recording;
+    });
+}
+
+void Dispatcher::on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
+                           Millis now) {
+    Machine* m = roster_.find(name);
+    if (m == nullptr) return;
+    m->direct_in_flight = false;
+    if (reply.delivery == Delivery::answered && reply.report && reply.report->machine == name) {
+        const wire::Report& r = *reply.report;
+        if (newer_leader(r)) return;
+        m->direct_failures = 0;
+        for (Attempt* a : m->attempts) {
+            if (a->state == AttemptState::starting && a->token == token && a->answered_seq == 0) {
+                a->answered_seq = r.seq;  // executed or refused: nothing of it is under way
+                if (!reply.executed) a->answered_seq = r.seq - 1;
+            }
+        }
+        absorb(*m, r, now);
+        if (!m->confirmed()) {
+            m->wants_confirm = true;  // its session was not the one we thought, or the token is new
+            poke(*m);
+        }
+    } else {
+        ++m->direct_failures;
+        bool lost = reply.delivery == Delivery::unknown;
+        for (Attempt* a : m->attempts) {
+            if (a->token != token || a->answered_seq != 0) continue;
+            if (a->state == AttemptState::starting && !lost) {
+                set_attempt_state(*a, AttemptState::recorded, now);  // it certainly never arrived
+            }
+            a->told_stop = false;
+        }
+        if (lost) {
+            // Commands may be under way. A higher token makes them harmless once it is confirmed.
+            raise_token(*m);
+        }
+        m->retry_direct_at = now + (lost ? kRetryUnknown : kRetryRefused);
+    }
+    poke(*m);
+    flush_poked(now);
+    if (dirty_ && now >= next_pass_) schedule(now);
+}
+
+void Dispatcher::raise_token(Machine& m) {
+    constexpr std::uint64_t kMost = (std::uint64_t{1} << blocks::kGrantShift) - 1;
+    if ((m.token & kMost) == kMost) return;  // thousands of lost messages: let silence decide
+    ++m.token;
+    m.wants_confirm = true;
+}
+
+void Dispatcher::machine_gone(Machine& m, Millis now) {
+    spdlog::info("machine {} is gone with {} tasks", m.name, m.attempts.size());
+    set_machine_state(m, MachineState::gone);
+    while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
+    ledger_.remove(m.name);
+    roster_.remove(&m);
+    dirty_ = true;
+}
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/dispatch/dispatcher.h
@@ -0,0 +1,232 @@
+// The leader's book of one term: jobs, attempts, machines, and what to do next. It owns no sockets
+// and reads no clock; time and messages are arguments, effects go through the outbox.
+#pragma once
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/names.h"
+#include "base/time.h"
+#include "blocks/ledger.h"
+#include "dispatch/outbox.h"
+#include "jobs/job.h"
+#include "placing/placer.h"
+#include "wire/settings.h"
+#include "workers/roster.h"
+
+namespace nickelramp::dispatch {
+
+struct TermInfo {
+    std::uint64_t number = 0;
+    std::string key;              // conditional transactions name it
+    std::uint64_t version = 0;    // its stamp while this term lasts
+};
+
+// How long a node that cannot reach the state service may go on answering workers: a cancellation
+// that it cannot know of must still be over within cancel_s.
+Millis answer_bound(const wire::Settings& s);
+
+struct CheckinAnswer {
+    int status = 200;  // 200, 421, 503
+    std::uint64_t token = 0;
+    std::vector<wire::Command> commands;
+};
+
+struct Team {
+    double cpus = 0, gpus = 0;  // in use, from the start's sending until proven gone
+};
+
+class Dispatcher {
+  public:
+    Dispatcher(const wire::Settings& settings, TermInfo term, Outbox& outbox, Millis now);
+
+    // Recovery, before anything else.
+    void load_types(const std::vector<wire::MachineType>& types);
+    void load_block(std::uint32_t n, blocks::Block block);
+    void load_job(const jobs::OpenRecord& record, std::uint64_t version, std::int64_t wall_ms,
+                  Millis now);
+    void load_run(const std::string& id, std::uint32_t chunk, const jobs::RunRecord& record,
+                  std::uint64_t version, Millis now);
+    void start(Millis now);
+
+    // News from the state service.
+    void on_open_record(const jobs::OpenRecord& record, std::uint64_t version, std::int64_t wall_ms,
+                        Millis now);
+    // While not confirmed as leader, nothing new is started.
+    void set_confirmed(bool confirmed) { confirmed_ = confirmed; }
+
+    CheckinAnswer on_checkin(const wire::Report& report, Millis now);
+    void on_hosts(const std::vector<wire::Host>& hosts, Millis now);
+    void tick(Millis now);
+
+    // What users and operators see.
+    struct Progress {
+        bool known = false;
+        std::uint64_t done = 0, running = 0;
+    };
+    Progress progress(const std::string& id) const;
+    struct Summary {
+        std::size_t open_jobs = 0, waiting_tasks = 0, live_attempts = 0;
+        std::size_t machines[6] = {};
+    };
+    Summary summary() const;
+    // Most machines have fallen silent at once: rather this node's trouble than theirs.
+    bool cut_off(Millis now) const;
+
+    // For tests and administration.
+    const workers::Roster& roster() const { return roster_; }
+    const std::unordered_map<std::string, std::unique_ptr<jobs::Job>>& open_jobs() const {
+        return jobs_;
+    }
+
+  private:
+    using Job = jobs::Job;
+    using Attempt = jobs::Attempt;
+    using AttemptState = jobs::AttemptState;
+    using Machine = workers::Machine;
+    using MachineState = workers::MachineState;
+
+    // intake.cpp
+    Job* add_job(const jobs::OpenRecord& record, std::uint64_t version, std::int64_t wall_ms,
+                 Millis now);
+    Job* find_job(const std::string& id);
+    void cancel(Job& j, Millis now);
+    void set_job_state(Job& j, jobs::JobState s);
+    void maybe_finish(Job& j, Millis now);
+    void finish_commit(Job& j, Millis now);
+    void maybe_drop(const std::string& id);
+    void update_guarantees(Index team);
+
+    // attempts.cpp
+    void set_attempt_state(Attempt& a, AttemptState s, Millis now);
+    void set_machine_state(Machine& m, MachineState s);
+    void occupy(Attempt& a, Job& j, Machine& m);
+    void release(Attempt& a, Job& j);
+    bool link_start(Job& j, Attempt& a);
+    Attempt* place(Job& j, std::uint32_t task, std::uint32_t number, Machine& m, Millis now);
+    void unplace(Attempt& a, Millis now);  // never sent
+    void proven_gone(Attempt& a, Millis now);
+    void exited(Attempt& a, wire::ExitCause cause, Millis now);
+    void over(Job& j, Attempt& a, Millis now);
+    void requeue(Job& j, const Attempt& a);
+    void erase(Attempt& a);
+    void want_gone(Attempt& a, double grace_s, Millis now);
+    void stop_all(Job& j, Millis now);
+    void stop_saving(Attempt& a, Millis now);  // the whole gang, if it is of one
+    void drain_attempt(Attempt& a, Millis now);
+    void break_gang(Job& j, Millis now);
+    void note_error(Job& j, Machine& m, Millis now);
+    Job& job_of(const Attempt& a) { return *slots_[a.job]; }
+    Machine* machine_of(const Attempt& a) { return a.machine == kNone ? nullptr : roster_.at(a.machine); }
+
+    // reports.cpp
+    Machine* adopt(const std::string& name, Millis now);
+    void identify(Machine& m, const std::string& address, const std::string& type,
+                  const std::string& zone, bool spot);
+    bool settled(const Attempt& a, const Machine& m) const;
+    void absorb(Machine& m, const wire::Report& r, Millis now);
+    void see(Attempt& a, const wire::TaskReport& t, Machine& m, Millis now);
+    void join(Machine& m, Millis now);
+    bool newer_leader(const wire::Report& r);
+
+    // commands.cpp
+    void stray_commands(Machine& m, const wire::Report& r, std::vector<wire::Command>& out);
+    std::vector<wire::Command> standing_commands(Machine& m);
+    void poke(Machine& m);  // it has something to be sent, at the end of this turn
+    void flush_poked(Millis now);
+    void flush(Machine& m, Millis now);
+    void on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply, Millis now);
+    void raise_token(Machine& m);
+    void machine_gone(Machine& m, Millis now);
+
+    // checkpoint.cpp
+    bool gang_recorded(const Job& j) const;
+    bool needs_commit(const Job& j, Millis now) const;
+    void commit_job(Job& j, Millis now);
+    void on_job_commit(const std::string& id, std::uint64_t serial,
+                       const std::vector<std::uint32_t>& chunks, const state::CommitReply& reply,
+                       Millis now);
+    void reread_chunk(Job& j, std::uint32_t chunk);
+    void commit_blocks(Millis now);
+    void drop_leftovers(Millis now);
+    state::Condition term_condition() const { return {term_.key, term_.version}; }
+
+    // schedule.cpp
+    void schedule(Millis now);
+    bool try_job(Job& j, Millis now);
+    bool place_some(Job& j, Millis now);
+    bool place_gang(Job& j, Millis now);
+    bool within_limit(const Job& j, std::uint32_t tasks) const;
+    std::uint32_t room_in_limit(const Job& j) const;
+    bool may_evict(const Attempt& a, const Job& j);
+    bool make_room(Job& j, std::uint32_t tasks, Millis now);
+    bool allowed(const Job& j, const Machine& m) const;
+    std::vector<Job*> queue(Millis now);
+
+    // supply.cpp
+    void plan_supply(const std::vector<Job*>& unplaced, Millis now);
+    void hire(Index type, Index zone, bool spot, std::uint32_t count, Millis now);
+    void on_hired(std::string request, Index type, Index zone, bool spot, std::uint32_t count,
+                  const HireReply& reply, Millis now);
+    void watch_machines(Millis now);
+    void return_machine(Machine& m, const char* why);
+    void send_returns(Millis now);
+    Millis idle_keep(const Machine& m) const;
+
+    // Wraps a callback so that it does nothing once the term is over.
+    template <typename F>
+    auto guarded(F f) {
+        return [alive = std::weak_ptr<char>(alive_), f = std::move(f)](auto&&... args) {
+            if (alive.lock()) f(std::forward<decltype(args)>(args)...);
+        };
+    }
+
+    const wire::Settings& settings_;
+    TermInfo term_;
+    Outbox& outbox_;
+    std::shared_ptr<char> alive_ = std::make_shared<char>();
+    bool started_ = false;
+    bool confirmed_ = true;
+    bool deposed_ = false;
+    Millis began_ = 0;
+    Millis inherited_lease_until_ = 0;  // leases that earlier terms may have given
+
+    Names type_names_, zone_names_, image_names_, team_names_, class_names_;
+    std::vector<wire::MachineType> types_;
+    std::vector<wire::Team> team_rules_;
+    std::vector<Team> teams_;
+
+    std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+    std::vector<Job*> slots_;
+    std::vector<Index> free_slots_;
+    workers::Roster roster_;
+    blocks::Ledger ledger_;
+    bool blocks_in_flight_ = false;
+    Millis retry_blocks_at_ = 0;
+    std::vector<std::string> leftovers_;  // run records of finished jobs to delete
+
+    std::vector<Index> poked_;
+    bool dirty_ = true;  // something changed that the schedule depends on
+    Millis next_pass_ = 0;
+
+    struct Offer {  // what the cloud last said about one kind of machine in one zone
+        Millis blocked_until = 0;
+        std::uint32_t refusals = 0;
+    };
+    std::map<std::tuple<Index, Index, bool>, Offer> offers_;
+    struct Hiring {
+        Index type, zone;
+        bool spot;
+        std::uint32_t count;
+    };
+    std::map<std::string, Hiring> hiring_;
+    std::uint64_t hires_ = 0;
+    bool return_in_flight_ = false;
+    Millis retry_return_at_ = 0;
+};
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/dispatch/intake.cpp
@@ -0,0 +1,343 @@
+// Jobs enter, are cancelled, finish and leave.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dispatch/dispatcher.h"
+
+namespace nickelramp::dispatch {
+
+using jobs::JobState;
+
+namespace {
+constexpr Millis kRetryCommit = 300;
+}
+
+Millis answer_bound(const wire::Settings& s) {
+    // The worker's clock may be the slow one: its lease then lasts a little longer than ours says.
+    return std::max<Millis>(0, shorter(seconds(s.cancel_s)) - longer(seconds(s.lease_s)) - 1500);
+}
+
+Dispatcher::Dispatcher(const wire::Settings& settings, TermInfo term, Outbox& outbox, Millis now)
+    : settings_(settings), term_(std::move(term)), outbox_(outbox), began_(now) {
+    for (const wire::Team& t : settings.teams) {
+        team_names_.add(t.name);
+        team_rules_.push_back(t);
+        teams_.emplace_back();
+    }
+    for (const std::string& z : settings.zones) zone_names_.add(z);
+    ledger_.begin(term_.number, settings.name);
+    // An earlier leader may have gone on answering for a while after it lost the state service.
+    inherited_lease_until_ = now + longer(answer_bound(settings) + seconds(settings.lease_s)) + 1000;
+}
+
+void Dispatcher::load_types(const std::vector<wire::MachineType>& types) {
+    for (const wire::MachineType& t : types) {
+        Index i = type_names_.add(t.name);
+        if (i >= types_.size()) types_.resize(i + 1);
+        types_[i] = t;
+        for (const std::string& z : t.zones) zone_names_.add(z);
+    }
+    dirty_ = true;
+}
+
+void Dispatcher::load_block(std::uint32_t n, blocks::Block block) {
+    for (const blocks::Member& b : block.members) {
+        Machine* m = adopt(b.name, began_);
+        identify(*m, b.address, b.type, b.zone, b.spot);
+        m->up_at = began_;
+        m->heard_at = began_;
+        m->lease_until = inherited_lease_until_;
+        m->wants_confirm = true;
+        set_machine_state(*m, MachineState::joining);
+    }
+    ledger_.load(n, std::move(block));
+    for (const blocks::Member& b : ledger_.block(n).members) {
+        roster_.find(b.name)->token = ledger_.block(n).token;
+    }
+}
+
+void Dispatcher::load_job(const jobs::OpenRecord& record, std::uint64_t version,
+                          std::int64_t wall_ms, Millis now) {
+    add_job(record, version, wall_ms, now);
+}
+
+void Dispatcher::load_run(const std::string& id, std::uint32_t chunk, const jobs::RunRecord& record,
+                          std::uint64_t version, Millis now) {
+    Job* j = find_job(id);
+    if (j == nullptr) {
+        leftovers_.push_back(jobs::run_key(id, chunk));  // its job is over
+        return;
+    }
+    jobs::Chunk& c = j->chunks[chunk];
+    c.version = version;
+    c.done_recorded = record.done;
+    std::uint32_t first = chunk * jobs::kChunkTasks;
+    for (std::uint32_t i = 0; i < jobs::kChunkTasks && first + i < j->spec.tasks; ++i) {
+        if ((record.done >> i & 1) != 0) j->mark_done(first + i);
+    }
+    c.dirty = false;
+    // Chunks are begun in order, tasks within them too.
+    for (const jobs::RunEntry& e : record.entries) {
+        if (e.task >= j->spec.tasks) continue;
+        j->gang_attempt = std::max(j->gang_attempt, e.attempt);
+        if (j->is_done(e.task)) {
+            if (!e.started) continue;
+        }
+        if (!e.started) {
+            j->waiting.push_back({e.task, e.attempt});
+            continue;
+        }
+        // It may be there: it counts until proven gone.
+        Machine* m = adopt(e.machine, now);
+        if (m->state == MachineState::booting) m->lease_until = inherited_lease_until_;
+        auto a = std::make_unique<Attempt>();
+        a->job = j->index;
+        a->task = e.task;
+        a->number = e.attempt;
+        a->machine = m->index;
+        a->committed = true;
+        a->placed_at = now;
+        a->state = AttemptState::starting;
+        // Only a report under a token of this term can show that it is not there.
+        a->token = blocks::term_token(term_.number) - 1;
+        a->session = UINT64_MAX;
+        link_start(*j, *a);
+        occupy(*a, *j, *m);
+        j->attempts.push_back(std::move(a));
+    }
+}
+
+void Dispatcher::start(Millis now) {
+    started_ = true;
+    for (auto& [id, job] : jobs_) {
+        Job& j = *job;
+        // Fresh tasks are those that no record names.
+        std::vector<char> named;
+        std::uint32_t last = 0;
+        auto name = [&](std::uint32_t task) {
+            if (named.size() <= task) named.resize(task + 1);
+            named[task] = 1;
+            last = std::max(last, task + 1);
+        };
+        for (const auto& a : j.attempts) name(a->task);
+        for (const jobs::Waiting& w : j.waiting) name(w.task);
+        for (const auto& [n, c] : j.chunks) {
+            for (std::uint32_t i = 0; i < jobs::kChunkTasks; ++i) {
+                if ((c.done >> i & 1) != 0) name(n * jobs::kChunkTasks + i);
+            }
+        }
+        j.next_fresh = last;
+        for (std::uint32_t t = 0; t < last; ++t) {
+            if (named[t] == 0) j.waiting.push_back({t, 0});
+        }
+        if (j.state == JobState::cancelled) stop_all(j, now);
+        maybe_finish(j, now);
+    }
+    for (std::size_t t = 0; t < teams_.size(); ++t) update_guarantees(static_cast<Index>(t));
+    tick(now);
+}
+
+Dispatcher::Job* Dispatcher::find_job(const std::string& id) {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+Dispatcher::Job* Dispatcher::add_job(const jobs::OpenRecord& record, std::uint64_t version,
+                                     std::int64_t wall_ms, Millis now) {
+    auto owned = std::make_unique<Job>();
+    Job& j = *owned;
+    j.spec = record.spec;
+    j.version = version;
+    j.accepted_wall_ms = record.accepted_wall_ms;
+    j.accepted_at = now - std::max<std::int64_t>(0, wall_ms - record.accepted_wall_ms);
+    j.team = team_names_.find(j.spec.team);
+    if (j.team == kNone) {
+        // Accepted under other settings: without a team rule nothing limits it.
+        j.team = team_names_.add(j.spec.team);
+        team_rules_.push_back({j.spec.team});
+        teams_.emplace_back();
+    }
+    j.image = image_names_.add(j.spec.image);
+    j.job_class = class_names_.add(j.spec.job_class);
+    if (j.spec.zone) j.zone = zone_names_.add(*j.spec.zone);
+    j.allowed_type.assign(type_names_.size(), j.spec.any_type ? 1 : 0);
+    for (const std::string& t : j.spec.types) {
+        Index i = type_names_.find(t);
+        if (i != kNone) j.allowed_type[i] = 1;
+    }
+    if (free_slots_.empty()) {
+        j.index = static_cast<Index>(slots_.size());
+        slots_.push_back(&j);
+    } else {
+        j.index = free_slots_.back();
+        free_slots_.pop_back();
+        slots_[j.index] = &j;
+    }
+    j.accepted_event = j.links.add_event({});
+    j.cancelled_event = j.links.add_event({.forcible = true});
+    j.links.submit(j.accepted_event);
+    jobs_.emplace(j.spec.id, std::move(owned));
+    if (record.cancelled) {
+        j.links.submit(j.cancelled_event);
+        set_job_state(j, JobState::cancelled);
+    }
+    dirty_ = true;
+    return &j;
+}
+
+void Dispatcher::on_open_record(const jobs::OpenRecord& record, std::uint64_t version,
+                                std::int64_t wall_ms, Millis now) {
+    Job* j = find_job(record.spec.id);
+    if (j == nullptr) {
+        j = add_job(record, version, wall_ms, now);
+        update_guarantees(j->team);
+        if (record.cancelled) maybe_finish(*j, now);
+        return;
+    }
+    if (version <= j->version) return;
+    j->version = version;
+    if (record.cancelled) cancel(*j, now);
+}
+
+void Dispatcher::cancel(Job& j, Millis now) {
+    if (j.state == JobState::cancelled || j.state == JobState::finished) return;
+    j.links.submit(j.cancelled_event);
+    set_job_state(j, JobState::cancelled);
+    stop_all(j, now);
+    for (Machine* m : roster_.all()) {
+        if (m->reserved_for == j.index) m->reserved_for = kNone;
+    }
+    update_guarantees(j.team);
+    maybe_finish(j, now);
+    dirty_ = true;
+}
+
+void Dispatcher::set_job_state(Job& j, JobState s) {
+    spdlog::debug("job {}: {} -> {}", j.spec.id, name(j.state), name(s));
+    j.set_state(s);
+}
+
+void Dispatcher::maybe_finish(Job& j, Millis now) {
+    if (j.state == JobState::open && !j.service() && j.done == j.spec.tasks) {
+        set_job_state(j, JobState::finishing);
+    }
+    bool over = j.state == JobState::finishing || (j.state == JobState::cancelled && j.live == 0);
+    if (over && !j.commit_in_flight && now >= j.retry_commit_at) finish_commit(j, now);
+}
+
+// One transaction tells users that the job is done and takes its records away.
+void Dispatcher::finish_commit(Job& j, Millis now) {
+    if (!confirmed_) {
+        j.retry_commit_at = now + kRetryCommit;
+        return;
+    }
+    bool done = j.state == JobState::finishing;
+    state::Txn txn;
+    txn.conditions = {term_condition(), {jobs::open_key(j.spec.id), j.version}};
+    if (done) {
+        txn.writes.push_back({jobs::job_key(j.spec.id),
+                              wire::Json{{"final", wire::final_name(wire::JobStatus::done)},
+                                         {"tasks", j.spec.tasks}}});
+    }
+    txn.writes.push_back({jobs::open_key(j.spec.id), std::nullopt});
+    std::vector<std::string> rest;
+    for (const auto& [n, c] : j.chunks) {
+        if (c.version == 0 && !c.uncertain) continue;
+        std::string key = jobs::run_key(j.spec.id, n);
+        if (txn.writes.size() < settings_.state_txn_ops) txn.writes.push_back({key, std::nullopt});
+        else rest.push_back(key);
+    }
+    j.commit_in_flight = true;
+    outbox_.commit(std::move(txn), guarded([this, id = j.spec.id, rest, done](
+                                               Millis t, const state::CommitReply& reply) {
+        Job* job = find_job(id);
+        if (job == nullptr) return;
+        job->commit_in_flight = false;
+        if (reply.outcome == state::Outcome::ok) {
+            leftovers_.insert(leftovers_.end(), rest.begin(), rest.end());
+            set_job_state(*job, JobState::finished);
+            update_guarantees(job->team);
+            maybe_drop(id);
+            dirty_ = true;
+            return;
+        }
+        job->retry_commit_at = t + kRetryCommit;
+        if (reply.outcome != state::Outcome::conflict) return;
+        // Cancelled meanwhile, applied after all, or another leader: the record tells.
+        outbox_.read(jobs::open_key(id), guarded([this, id](Millis t2, const state::GetReply& got) {
+            Job* again = find_job(id);
+            if (again == nullptr) return;
+            if (got.outcome == state::Outcome::missing) {
+                set_job_state(*again, JobState::finished);
+                update_guarantees(again->team);
+                maybe_drop(id);
+            } else if (got.outcome == state::Outcome::ok) {
+                auto record = jobs::read_open(got.item.value);
+                if (record) on_open_record(*record, got.item.version, 0, t2);
+            }
+        }));
+        (void)done;
+    }));
+}
+
+// The book forgets a finished job when no attempt of it is left on any machine.
+void Dispatcher::maybe_drop(const std::string& id) {
+    Job* j = find_job(id);
+    if (j == nullptr || j->state != JobState::finished || !j->attempts.empty()) return;
+    Index slot = j->index;
+    for (Machine* m : roster_.all()) {
+        if (m->reserved_for == slot) m->reserved_for = kNone;
+        std::erase(m->failed_jobs, slot);
+    }
+    slots_[slot] = nullptr;
+    free_slots_.push_back(slot);
+    jobs_.erase(id);
+}
+
+// A team's unfinished jobs, in the order of acceptance, as far as they fit into its guarantee.
+void Dispatcher::update_guarantees(Index team) {
+    const wire::Team& rule = team_rules_[team];
+    std::vector<Job*> list;
+    for (auto& [id, j] : jobs_) {
+        if (j->team == team && (j->state == JobState::open || j->state == JobState::finishing)) {
+            list.push_back(j.get());
+        }
+    }
+    std::sort(list.begin(), list.end(), [](const Job* a, const Job* b) {
+        return std::tie(a->accepted_at, a->spec.id) < std::tie(b->accepted_at, b->spec.id);
+    });
+    double cpus = 0, gpus = 0;
+    bool any = rule.cpus > 0 || rule.gpus > 0;
+    for (Job* j : list) {
+        cpus += j->spec.cpus * j->spec.tasks;
+        gpus += j->spec.gpus * j->spec.tasks;
+        j->within_guarantee = any && (rule.cpus <= 0 || cpus <= rule.cpus + placing::kSlack) &&
+                              (rule.gpus <= 0 || gpus <= rule.gpus + placing::kSlack);
+    }
+}
+
+Dispatcher::Progress Dispatcher::progress(const std::string& id) const {
+    auto it = jobs_.find(id);
+    if (it == jobs_.end()) return {};
+    Progress p{true, it->second->done, 0};
+    for (const auto& a : it->second->attempts) {
+        if (a->state == AttemptState::running || a->state == AttemptState::saving) ++p.running;
+    }
+    return p;
+}
+
+Dispatcher::Summary Dispatcher::summary() const {
+    Summary s;
+    for (const auto& [id, j] : jobs_) {
+        if (j->state == JobState::open) {
+            ++s.open_jobs;
+            s.waiting_tasks += j->unstarted();
+        }
+        s.live_attempts += j->live;
+    }
+    for (const Machine* m : roster_.all()) ++s.machines[static_cast<std::size_t>(m->state)];
+    return s;
+}
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/dispatch/outbox.h
@@ -0,0 +1,48 @@
+// What the dispatcher asks of the world. Every call is answered later, once, with the time of the
+// answer, unless the term ends first. Tests put a simulated world behind it.
+#pragma once
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "state/client.h"
+#include "wire/messages.h"
+
+namespace nickelramp::dispatch {
+
+enum class Delivery { answered, refused, unknown };  // refused: nothing arrived there
+
+struct DirectReply {
+    Delivery delivery = Delivery::unknown;
+    bool executed = false;  // 200; otherwise 409
+    std::optional<wire::Report> report;
+};
+
+struct HireReply {
+    enum class Result { hired, no_capacity, trouble, malformed };
+    Result result = Result::trouble;
+    std::vector<std::string> machines;
+};
+
+class Outbox {
+  public:
+    virtual ~Outbox() = default;
+    virtual void commit(state::Txn txn,
+                        std::function<void(Millis, const state::CommitReply&)> done) = 0;
+    virtual void read(const std::string& key,
+                      std::function<void(Millis, const state::GetReply&)> done) = 0;
+    virtual void direct(const std::string& machine, const std::string& address, std::uint64_t token,
+                        std::uint64_t session, const std::vector<wire::Command>& commands,
+                        std::function<void(Millis, const DirectReply&)> done) = 0;
+    virtual void hire(const std::string& request, const std::string& type, const std::string& zone,
+                      bool spot, std::uint32_t count,
+                      std::function<void(Millis, const HireReply&)> done) = 0;
+    virtual void give_back(const std::vector<std::string>& machines,
+                           std::function<void(Millis, bool)> done) = 0;
+    // Somebody else leads.
+    virtual void deposed(const std::string& why) = 0;
+};
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/dispatch/schedule.cpp
@@ -0,0 +1,345 @@
+// The order of jobs, and who gets which machine.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dispatch/dispatcher.h"
+
+namespace nickelramp::dispatch {
+
+using jobs::JobState;
+using placing::Need;
+using wire::Priority;
+
+namespace {
+constexpr Millis kPassGap = 20;          // news gathers this long
+constexpr Millis kReservation = 12'000;  // beyond the time to save
+}  // namespace
+
+// Type, zone, kind and trust; not how much is free.
+bool Dispatcher::allowed(const Job& j, const Machine& m) const {
+    if (m.type == kNone || m.type >= j.allowed_type.size() || j.allowed_type[m.type] == 0) return false;
+    if (j.zone != kNone && j.zone != m.zone) return false;
+    return j.spec.spot || !m.spot;
+}
+
+std::uint32_t Dispatcher::room_in_limit(const Job& j) const {
+    const wire::Team& rule = team_rules_[j.team];
+    const Team& used = teams_[j.team];
+    double most = 1e6;
+    if (rule.cpus_max > 0 && j.spec.cpus > 0) {
+        most = std::min(most, (rule.cpus_max - used.cpus + placing::kSlack) / j.spec.cpus);
+    }
+    if (rule.gpus_max > 0 && j.spec.gpus > 0) {
+        most = std::min(most, (rule.gpus_max - used.gpus + placing::kSlack) / j.spec.gpus);
+    }
+    return most <= 0 ? 0 : static_cast<std::uint32_t>(most);
+}
+
+bool Dispatcher::within_limit(const Job& j, std::uint32_t tasks) const {
+    return room_in_limit(j) >= tasks;
+}
+
+// Production first, then what a team is owed, then the rest; by priority and arrival within.
+std::vector<Dispatcher::Job*> Dispatcher::queue(Millis now) {
+    std::vector<Job*> out;
+    for (auto& [id, j] : jobs_) {
+        if (j->state == JobState::open && j->unstarted() > 0 && now >= j->hold_until) {
+            out.push_back(j.get());
+        }
+    }
+    auto rank = [](const Job* j) {
+        if (j->spec.priority == Priority::production) return 0;
+        int p = 3 - static_cast<int>(j->spec.priority);
+        return j->within_guarantee ? p : p + 4;
+    };
+    std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
+        int ra = rank(a), rb = rank(b);
+        if (ra != rb) return ra < rb;
+        return std::tie(a->accepted_at, a->spec.id) < std::tie(b->accepted_at, b->spec.id);
+    });
+    return out;
+}
+
+void Dispatcher::schedule(Millis now) {
+    if (!started_ || deposed_) return;
+    dirty_ = false;
+    next_pass_ = now + kPassGap;
+    std::vector<Job*> unplaced;
+    for (Job* j : queue(now)) {
+        if (confirmed_) try_job(*j, now);
+        if (j->unstarted() > 0) {
+            if (j->starved_since == 0) j->starved_since = now;
+            unplaced.push_back(j);
+        } else {
+            j->starved_since = 0;
+        }
+    }
+    if (confirmed_) {
+        for (auto& [id, j] : jobs_) {
+            if (needs_commit(*j, now)) commit_job(*j, now);
+        }
+        plan_supply(unplaced, now);
+    }
+    flush_poked(now);
+}
+
+bool Dispatcher::try_job(Job& j, Millis now) {
+    bool placed = j.gang() ? place_gang(j, now) : place_some(j, now);
+    if (!placed && j.unstarted() > 0) {
+        std::uint32_t want = j.gang() ? j.spec.tasks : std::min(j.unstarted(), room_in_limit(j));
+        if (want > 0 && within_limit(j, want)) make_room(j, want, now);
+    }
+    return placed;
+}
+
+// Arrays and services: one task after the other.
+bool Dispatcher::place_some(Job& j, Millis now) {
+    Need need = placing::need_of(j);
+    std::vector<std::uint32_t> in_zone(zone_names_.size());
+    Index only_zone = kNone;
+    for (const auto& a : j.attempts) {
+        if (!a->live()) continue;
+        Machine* m = machine_of(*a);
+        if (m == nullptr || m->zone == kNone) {
+            // One of its tasks may be on a machine whose zone is not known yet.
+            if (j.spec.one_zone || j.spec.spread) return false;
+            continue;
+        }
+        ++in_zone[m->zone];
+        only_zone = m->zone;
+    }
+    const std::uint32_t half = (j.spec.tasks + 1) / 2;
+    while (j.unstarted() > 0 && within_limit(j, 1)) {
+        Machine* best = nullptr;
+        double best_cost = 0;
+        for (Machine* m : roster_.all()) {
+            if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
+            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until) continue;
+            if (!placing::covers(m->cpus_free, m->gpus_free, m->memory_free, need)) continue;
+            if (j.spec.one_zone && only_zone != kNone && m->zone != only_zone) continue;
+            if (j.spec.spread && in_zone[m->zone] >= half) continue;
+            double c = placing::cost(j, *m, types_[m->type]);
+            if (m->reserved_for == j.index) c -= 30;
+            if (!j.failed_on.empty() && std::find(j.failed_on.begin(), j.failed_on.end(), m->index) !=
+                                            j.failed_on.end()) {
+                c += 60;
+            }
+            if (best == nullptr || c < best_cost) {
+                best = m;
+                best_cost = c;
+            }
+        }
+        if (best == nullptr) return false;
+        std::uint32_t task, number;
+        if (!j.waiting.empty()) {
+            task = j.waiting.back().task;
+            number = j.waiting.back().last_attempt + 1;
+        } else {
+            task = j.next_fresh;
+            number = 1;
+        }
+        if (place(j, task, number, *best, now) == nullptr) return false;
+        if (!j.waiting.empty()) j.waiting.pop_back();
+        else ++j.next_fresh;
+        ++in_zone[best->zone];
+        only_zone = best->zone;
+    }
+    return j.unstarted() == 0;
+}
+
+// A gang goes as a whole or not at all.
+bool Dispatcher::place_gang(Job& j, Millis now) {
+    if (!within_limit(j, j.spec.tasks)) return false;
+    Need need = placing::need_of(j);
+    struct Choice {
+        Machine* machine;
+        std::uint32_t room;
+        double cost;
+    };
+    std::vector<Choice> best;
+    double best_cost = 0;
+    const std::uint32_t half = (j.spec.tasks + 1) / 2;
+    const Index zones = static_cast<Index>(zone_names_.size());
+    for (Index z = 0; z <= zones; ++z) {
+        // Each zone alone; all zones together only for gangs that may be split.
+        if (z == zones && j.spec.one_zone) break;
+        if (z < zones && j.spec.spread && j.spec.tasks > 1) continue;
+        std::vector<Choice> options;
+        for (Machine* m : roster_.all()) {
+            if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
+            if (z < zones && m->zone != z) continue;
+            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until) continue;
+            std::uint32_t room = placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need,
+                                                   j.spec.tasks);
+            if (room == 0) continue;
+            double c = placing::cost(j, *m, types_[m->type]);
+            if (m->reserved_for == j.index) c -= 30;
+            options.push_back({m, room, c});
+        }
+        std::sort(options.begin(), options.end(),
+                  [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
+        std::vector<Choice> chosen;
+        std::vector<std::uint32_t> in_zone(zones);
+        std::uint32_t left = j.spec.tasks;
+        double worst = 0;
+        for (const Choice& o : options) {
+            std::uint32_t k = std::min(o.room, left);
+            if (j.spec.spread) k = std::min(k, half - std::min(half, in_zone[o.machine->zone]));
+            if (k == 0) continue;
+            chosen.push_back({o.machine, k, o.cost});
+            in_zone[o.machine->zone] += k;
+            worst = std::max(worst, o.cost);
+            left -= k;
+            if (left == 0) break;
+        }
+        if (left > 0) continue;
+        if (best.empty() || worst < best_cost) {
+            best = chosen;
+            best_cost = worst;
+        }
+    }
+    if (best.empty()) return false;
+    std::uint32_t number = ++j.gang_attempt;
+    std::uint32_t task = 0;
+    j.gang_broken = false;
+    for (const Choice& c : best) {
+        for (std::uint32_t k = 0; k < c.room; ++k) {
+            if (place(j, task++, number, *c.machine, now) == nullptr) {
+                stop_all(j, now);
+                return false;
+            }
+        }
+    }
+    for (Machine* m : roster_.all()) {
+        if (m->reserved_for == j.index) m->reserved_for = kNone;
+    }
+    return true;
+}
+
+// May this attempt be stopped so that the job gets its place?
+bool Dispatcher::may_evict(const Attempt& a, const Job& j) {
+    const Job& victim = job_of(a);
+    if (victim.index == j.index || victim.state != JobState::open) return false;
+    if (victim.spec.priority < j.spec.priority) return true;
+    if (!j.within_guarantee || victim.team == j.team || victim.within_guarantee) return false;
+    const wire::Team& rule = team_rules_[victim.team];
+    const Team& used = teams_[victim.team];
+    return used.gpus > rule.gpus + placing::kSlack || (rule.gpus <= 0 && used.cpus > rule.cpus);
+}
+
+// Stops the least valuable work on as many machines as the job needs, and keeps them for it.
+bool Dispatcher::make_room(Job& j, std::uint32_t tasks, Millis now) {
+    if (j.spec.priority < Priority::high && !j.within_guarantee) return false;
+    Need need = placing::need_of(j);
+    std::uint32_t coming = 0;  // room that is being made already
+    struct Plan {
+        Machine* machine;
+        std::vector<Attempt*> victims;
+        std::uint32_t room;
+        double cost;
+    };
+    std::vector<Plan> plans;
+    Index fixed_zone = kNone;
+    for (const auto& a : j.attempts) {
+        if (Machine* m = machine_of(*a); m != nullptr && a->live()) fixed_zone = m->zone;
+    }
+    for (Machine* m : roster_.all()) {
+        if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
+        if (j.spec.one_zone && fixed_zone != kNone && m->zone != fixed_zone) continue;
+        if (m->reserved_for != kNone && now < m->reserved_until) {
+            if (m->reserved_for != j.index) continue;
+            double c = m->cpus_free, g = m->gpus_free, mem = m->memory_free;
+            for (Attempt* a : m->attempts) {
+                if (!a->live() || !a->must_go) continue;
+                const Job& v = job_of(*a);
+                c += v.spec.cpus;
+                g += v.spec.gpus;
+                mem += v.spec.memory_gb;
+            }
+            coming += placing::how_many(c, g, mem, need, tasks);
+            continue;
+        }
+        double c = m->cpus_free, g = m->gpus_free, mem = m->memory_free;
+        std::vector<std::pair<double, Attempt*>> evictable;
+        for (Attempt* a : m->attempts) {
+            if (!a->live()) continue;
+            const Job& v = job_of(*a);
+            if (a->must_go) {
+                c += v.spec.cpus;
+                g += v.spec.gpus;
+                mem += v.spec.memory_gb;
+                continue;
+            }
+            if (!may_evict(*a, j)) continue;
+            double lost = v.gang() ? 40.0 * v.spec.tasks : 0;
+            double run_s = a->running_since == 0 ? 0 : static_cast<double>(now - a->running_since) / 1000.0;
+            lost += v.spec.checkpoint_s > 0 ? v.spec.save_s + 2 : run_s;
+            lost += 5.0 * static_cast<double>(v.spec.priority);
+            evictable.push_back({lost, a});
+        }
+        std::sort(evictable.begin(), evictable.end(),
+                  [](const auto& a, const auto& b) { return a.first < b.first; });
+        Plan plan{m, {}, 0, placing::cost(j, *m, types_[m->type])};
+        std::uint32_t wanted = j.gang() ? 1 : tasks;
+        for (const auto& [lost, a] : evictable) {
+            if (placing::how_many(c, g, mem, need, wanted) >= wanted) break;
+            const Job& v = job_of(*a);
+            c += v.spec.cpus;
+            g += v.spec.gpus;
+            mem += v.spec.memory_gb;
+            plan.victims.push_back(a);
+            plan.cost += lost;
+        }
+        plan.room = placing::how_many(c, g, mem, need, tasks);
+        if (plan.room == 0) continue;
+        plan.cost /= plan.room;
+        plans.push_back(std::move(plan));
+    }
+    if (coming >= tasks) return true;
+    std::uint32_t left = tasks - coming;
+    std::sort(plans.begin(), plans.end(),
+              [](const Plan& a, const Plan& b) { return a.cost < b.cost; });
+    if (j.gang() && j.spec.one_zone) {
+        // All in the zone that offers enough for least.
+        Index zone = kNone;
+        double least = 0;
+        for (Index z = 0; z < zone_names_.size(); ++z) {
+            std::uint32_t room = 0;
+            double sum = 0;
+            for (const Plan& p : plans) {
+                if (p.machine->zone != z || room >= tasks) continue;
+                room += p.room;
+                sum += p.cost;
+            }
+            if (room >= tasks && (zone == kNone || sum < least)) {
+                zone = z;
+                least = sum;
+            }
+        }
+        if (zone == kNone) return false;
+        std::erase_if(plans, [&](const Plan& p) { return p.machine->zone != zone; });
+    }
+    std::uint32_t room = 0;
+    for (const Plan& p : plans) room += p.room;
+    if (j.gang() && room < left) return false;
+    for (const Plan& p : plans) {
+        if (left == 0) break;
+        left -= std::min(left, p.room);
+        p.machine->reserved_for = j.index;
+        p.machine->reserved_until = now + kReservation;
+        for (Attempt* a : p.victims) {
+            // Ending one member of a gang may have ended others of the list.
+            auto& there = p.machine->attempts;
+            if (std::find(there.begin(), there.end(), a) == there.end()) continue;
+            p.machine->reserved_until =
+                std::max(p.machine->reserved_until, now + seconds(job_of(*a).spec.save_s) + kReservation);
+            spdlog::debug("task {}/{} makes room for {} on {}", job_of(*a).spec.id, a->task, j.spec.id,
+                          p.machine->name);
+            stop_saving(*a, now);
+        }
+    }
+    return true;
+}
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/dispatch/supply.cpp
@@ -0,0 +1,327 @@
+// Machines: hiring ahead of need, silent and late ones, giving back.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "dispatch/dispatcher.h"
+
+namespace nickelramp::dispatch {
+
+using placing::Need;
+
+namespace {
+constexpr Millis kFirstBlock = 8'000;
+constexpr Millis kMostBlock = 60'000;
+constexpr std::uint32_t kMostHire = 50;   // the cloud's own limit a request
+constexpr std::size_t kMostReturn = 100;  // likewise
+constexpr double kLate = 1.7;             // boots beyond this many boot times no longer count
+constexpr double kHopeless = 4.0;           // and beyond this they are given back
+}  // namespace
+
+// Packs what found no place onto the machines that are coming, and hires for the rest.
+void Dispatcher::plan_supply(const std::vector<Job*>& unplaced, Millis now) {
+    if (types_.empty()) return;
+    struct Bin {
+        Index type, zone;
+        bool spot;
+        double cpus, gpus, memory_gb;
+        bool fresh;
+    };
+    std::vector<Bin> bins;
+    for (Machine* m : roster_.all()) {
+        if (m->state != MachineState::booting && m->state != MachineState::joining) continue;
+        if (m->type == kNone) continue;
+        const wire::MachineType& t = types_[m->type];
+        if (m->state == MachineState::booting && now - m->hired_at > seconds(t.boot_s * kLate)) continue;
+        bins.push_back({m->type, m->zone, m->spot, t.cpus, t.gpus, t.memory_gb, false});
+    }
+    for (const auto& [name, h] : hiring_) {
+        const wire::MachineType& t = types_[h.type];
+        for (std::uint32_t i = 0; i < h.count; ++i) {
+            bins.push_back({h.type, h.zone, h.spot, t.cpus, t.gpus, t.memory_gb, false});
+        }
+    }
+    std::map<std::tuple<Index, Index, bool>, std::uint32_t> wanted;
+    std::size_t fresh = 0;
+    for (Job* j : unplaced) {
+        Need need = placing::need_of(*j);
+        std::uint32_t tasks = std::min(j->unstarted(), room_in_limit(*j));
+        if (j->gang() && tasks < j->spec.tasks) continue;
+        Index zone = j->zone;
+        // Gangs of one zone are packed into the zone that already has most room coming.
+        std::vector<std::uint32_t> in_zone(zone_names_.size());
+        const std::uint32_t half = (j->spec.tasks + 1) / 2;
+        for (const auto& a : j->attempts) {
+            Machine* m = machine_of(*a);
+            if (!a->live() || m == nullptr || m->zone == kNone) continue;
+            ++in_zone[m->zone];
+            if (j->spec.one_zone) zone = m->zone;
+        }
+        if (j->gang() && j->spec.one_zone && zone == kNone && j->spec.tasks > 1) {
+            std::vector<std::uint32_t> room(zone_names_.size());
+            for (const Bin& b : bins) {
+                room[b.zone] += placing::how_many(b.cpus, b.gpus, b.memory_gb, need, tasks);
+            }
+            for (Machine* m : roster_.all()) {
+                if (m->usable() && allowed(*j, *m)) {
+                    room[m->zone] += placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, tasks);
+                }
+            }
+            auto most = std::max_element(room.begin(), room.end());
+            if (*most > 0) zone = static_cast<Index>(most - room.begin());
+        }
+        while (tasks > 0 && fresh < 100) {
+            Bin* bin = nullptr;
+            for (Bin& b : bins) {
+                if (j->allowed_type.size() <= b.type || j->allowed_type[b.type] == 0) continue;
+                if (zone != kNone && b.zone != zone) continue;
+                if (b.spot && !j->spec.spot) continue;
+                if (j->spec.spread && in_zone[b.zone] >= half) continue;
+                if (!placing::covers(b.cpus, b.gpus, b.memory_gb, need)) continue;
+                bin = &b;
+                break;
+            }
+            if (bin == nullptr) {
+                // The cheapest kind that the cloud has not just refused.
+                double least = 0;
+                std::optional<std::tuple<Index, Index, bool>> kind;
+                for (Index t = 0; t < types_.size() && t < j->allowed_type.size(); ++t) {
+                    const wire::MachineType& type = types_[t];
+                    if (j->allowed_type[t] == 0) continue;
+                    if (!placing::covers(type.cpus, type.gpus, type.memory_gb, need)) continue;
+                    for (const std::string& zone_name : type.zones) {
+                        Index z = zone_names_.find(zone_name);
+                        if (zone != kNone && z != zone) continue;
+                        if (j->spec.spread && in_zone[z] >= half) continue;
+                        for (bool spot : {true, false}) {
+                            if (spot && !j->spec.spot) continue;
+                            auto it = offers_.find({t, z, spot});
+                            if (it != offers_.end() && now < it->second.blocked_until) continue;
+                            double fits = placing::how_many(type.cpus, type.gpus, type.memory_gb, need, 64);
+                            std::size_t there = 0;
+                            for (Machine* m : roster_.all()) there += m->zone == z ? 1 : 0;
+                            for (const auto& [k, n] : wanted) there += std::get<1>(k) == z ? n : 0;
+                            double price = (spot ? type.spot_price : type.price) / std::max(1.0, fits);
+                            price *= 1.0 + 0.001 * static_cast<double>(there);  // keep zones even
+                            if (!kind || price < least) {
+                                kind = {t, z, spot};
+                                least = price;
+                            }
+                        }
+                    }
+                }
+                if (!kind) break;
+                auto [t, z, spot] = *kind;
+                const wire::MachineType& type = types_[t];
+                bins.push_back({t, z, spot, type.cpus, type.gpus, type.memory_gb, true});
+                bin = &bins.back();
+                ++wanted[*kind];
+                ++fresh;
+                if (j->gang() && j->spec.one_zone) zone = z;
+            }
+            bin->cpus -= need.cpus;
+            bin->gpus -= need.gpus;
+            bin->memory_gb -= need.memory_gb;
+            ++in_zone[bin->zone];
+            if (j->spec.one_zone) zone = bin->zone;
+            --tasks;
+        }
+    }
+    for (const auto& [kind, n] : wanted) {
+        auto [t, z, spot] = kind;
+        hire(t, z, spot, std::min(n, kMostHire), now);
+    }
+}
+
+void Dispatcher::hire(Index type, Index zone, bool spot, std::uint32_t count, Millis now) {
+    for (const auto& [name, h] : hiring_) {
+        if (h.type == type && h.zone == zone && h.spot == spot) return;  // one question at a time
+    }
+    // Names are never used again: the term is in them.
+    std::string request = fmt::format("t{}-{}", term_.number, ++hires_);
+    hiring_[request] = {type, zone, spot, count};
+    spdlog::info("hiring {} {} {} in {}", count, spot ? "spot" : "ordinary", types_[type].name,
+                 zone_names_.name(zone));
+    (void)now;
+    outbox_.hire(request, types_[type].name, zone_names_.name(zone), spot, count,
+                 guarded([this, request, type, zone, spot, count](Millis t, const HireReply& reply) {
+                     on_hired(request, type, zone, spot, count, reply, t);
+                 }));
+}
+
+void Dispatcher::on_hired(std::string request, Index type, Index zone, bool spot,
+                          std::uint32_t count, const HireReply& reply, Millis now) {
+    hiring_.erase(request);
+    Offer& offer = offers_[{type, zone, spot}];
+    auto refuse = [&](Millis first) {
+        offer.blocked_until = now + std::min(kMostBlock, first << std::min(offer.refusals, 4u));
+        ++offer.refusals;
+    };
+    switch (reply.result) {
+        case HireReply::Result::hired:
+            for (const std::string& name : reply.machines) {
+                if (roster_.buried(name)) continue;
+                Machine* m = adopt(name, now);
+                identify(*m, "", types_[type].name, zone_names_.name(zone), spot);
+            }
+            if (reply.machines.size() < count) refuse(kFirstBlock);
+            else offer.refusals = 0;
+            break;
+        case HireReply::Result::no_capacity: refuse(kFirstBlock); break;
+        case HireReply::Result::trouble: offer.blocked_until = now + 1500; break;
+        case HireReply::Result::malformed:
+            spdlog::error("the cloud calls the hire of {} malformed", types_[type].name);
+            refuse(kMostBlock);
+            break;
+    }
+    dirty_ = true;
+    if (now >= next_pass_) schedule(now);
+}
+
+void Dispatcher::on_hosts(const std::vector<wire::Host>& hosts, Millis now) {
+    for (const wire::Host& h : hosts) {
+        if (roster_.buried(h.id)) continue;  // the list lags behind its return
+        Machine* m = roster_.find(h.id);
+        if (m == nullptr) {
+            m = adopt(h.id, now);
+            m->hired_at = now - seconds(h.age_s);
+            spdlog::info("machine {} of the list was not in the book", h.id);
+        }
+        identify(*m, h.address, h.type, h.zone, h.spot);
+        if (h.status == wire::HostStatus::failed) return_machine(*m, "failed");
+        else if (h.status == wire::HostStatus::running && m->state == MachineState::booting &&
+                 m->listed_running_at == 0) {
+            m->listed_running_at = now;
+        }
+    }
+}
+
+// An idle machine stays as long as hiring it anew would cost about as much as keeping it.
+Millis Dispatcher::idle_keep(const Machine& m) const {
+    double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
+    return seconds(m.spot ? boot : 1.2 * boot);
+}
+
+bool Dispatcher::cut_off(Millis now) const {
+    std::size_t up = 0, silent = 0;
+    for (const Machine* m : roster_.all()) {
+        if (m->state == MachineState::booting || m->state == MachineState::gone || m->up_at == 0) continue;
+        ++up;
+        if (now - m->heard_at > seconds(2.5 * settings_.report_s)) ++silent;
+    }
+    return up >= 3 && silent * 2 > up;
+}
+
+void Dispatcher::watch_machines(Millis now) {
+    const Millis probe_after = seconds(1.6 * settings_.report_s);
+    const Millis give_up = seconds(3 * settings_.report_s);
+    const bool blind = cut_off(now);
+    std::vector<Machine*> list = roster_.all();
+    for (Machine* m : list) {
+        if (m->reserved_for != kNone && now >= m->reserved_until) {
+            m->reserved_for = kNone;
+            dirty_ = true;
+        }
+        if (m->state == MachineState::booting) {
+            double boot_s = m->type == kNone ? 60 : types_[m->type].boot_s;
+            if (now - m->hired_at > seconds(boot_s * kHopeless + settings_.list_lag_s)) {
+                return_machine(*m, "never came up");
+            } else if (m->listed_running_at != 0 && now - m->listed_running_at > 5 * give_up && !blind) {
+                return_machine(*m, "runs but never reported");
+            }
+            if (now - m->hired_at > seconds(boot_s * kLate) && !m->late) {
+                m->late = true;
+                dirty_ = true;  // no longer counted on
+            }
+            if (!m->attempts.empty() && now > m->lease_until) {
+                // Known from a record only, and its lease is long over.
+                return_machine(*m, "known from records only");
+            }
+            continue;
+        }
+        Millis silent = now - m->heard_at;
+        if (silent > probe_after && !m->direct_in_flight && now >= m->retry_direct_at &&
+            m->state != MachineState::gone) {
+            m->wants_confirm = true;
+            m->retry_direct_at = now;
+            poke(*m);
+        }
+        if (silent > give_up && m->direct_failures > 0 && !blind) return_machine(*m, "is silent");
+        if (now > m->lease_until && silent > seconds(settings_.lease_s)) {
+            // Whatever it had, it has killed by itself.
+            while (!m->attempts.empty()) proven_gone(*m->attempts.back(), now);
+        }
+        if (m->empty()) {
+            if (m->idle_since == 0) m->idle_since = now;
+            bool over = m->state == MachineState::draining && m->warned_until == 0;
+            if (m->state == MachineState::ready && m->reserved_for == kNone &&
+                now - m->idle_since > idle_keep(*m)) {
+                return_machine(*m, "is idle");
+            } else if (over) {
+                return_machine(*m, "is drained");
+            } else if (m->state == MachineState::draining && m->attempts.empty()) {
+                return_machine(*m, "is taken back");
+            }
+        } else {
+            m->idle_since = 0;
+        }
+    }
+    send_returns(now);
+}
+
+void Dispatcher::return_machine(Machine& m, const char* why) {
+    if (m.state == MachineState::returning || m.state == MachineState::gone) return;
+    spdlog::info("returning machine {}: it {}", m.name, why);
+    set_machine_state(m, MachineState::returning);
+}
+
+void Dispatcher::send_returns(Millis now) {
+    if (return_in_flight_ || now < retry_return_at_ || !confirmed_) return;
+    std::vector<std::string> names;
+    for (Machine* m : roster_.all()) {
+        if (m->state == MachineState::returning && names.size() < kMostReturn) names.push_back(m->name);
+    }
+    if (names.empty()) return;
+    return_in_flight_ = true;
+    outbox_.give_back(names, guarded([this, names](Millis t, bool ok) {
+        return_in_flight_ = false;
+        if (!ok) {
+            retry_return_at_ = t + 1000;
+            return;
+        }
+        // The answer proves them gone, and everything on them.
+        for (const std::string& name : names) {
+            if (Machine* m = roster_.find(name)) machine_gone(*m, t);
+        }
+        flush_poked(t);
+        if (dirty_ && t >= next_pass_) schedule(t);
+    }));
+}
+
+void Dispatcher::tick(Millis now) {
+    if (!started_ || deposed_) return;
+    watch_machines(now);
+    commit_blocks(now);
+    drop_leftovers(now);
+    for (auto& [id, j] : jobs_) {
+        if (j->hold_until != 0 && now >= j->hold_until) {
+            j->hold_until = 0;
+            dirty_ = true;
+        }
+    }
+    std::vector<std::string> ending;
+    for (auto& [id, j] : jobs_) {
+        if (j->state != jobs::JobState::open) ending.push_back(id);
+        else if (needs_commit(*j, now) && confirmed_) commit_job(*j, now);
+    }
+    for (const std::string& id : ending) {
+        if (Job* j = find_job(id)) maybe_finish(*j, now);
+    }
+    for (Machine* m : roster_.all()) {
+        if (now >= m->retry_direct_at && !m->direct_in_flight) poke(*m);
+    }
+    flush_poked(now);
+    if (dirty_ || now >= next_pass_ + 1000) schedule(now);
+}
+
+}  // namespace nickelramp::dispatch
--- /dev/null
+++ b/src/fleet/cloud.cpp
@@ -0,0 +1,101 @@
+#include "fleet/cloud.h"
+
+#include <algorithm>
+
+namespace nickelramp::fleet {
+
+namespace {
+constexpr Millis kCall = 4000;
+constexpr std::size_t kMostQueued = 200;
+// Other controllers ask for machine types now and then.
+constexpr double kShare = 0.8;
+}  // namespace
+
+Cloud::Cloud(uv_loop_t* loop, const sockaddr_in& address, const std::string& host, double rps)
+    : loop_(loop),
+      http_(loop, address, host, 6, kMostQueued),
+      rps_(rps * kShare),
+      left_(rps),
+      filled_(static_cast<Millis>(uv_now(loop))),
+      timer_(loop, [this] { pump(); }) {}
+
+void Cloud::submit(bool first, Call call) {
+    if (queue_.size() >= kMostQueued && !first) {
+        queue_.pop_back();  // the newest list; its caller asks again
+    }
+    if (first) queue_.push_front(std::move(call));
+    else queue_.push_back(std::move(call));
+    pump();
+}
+
+void Cloud::pump() {
+    Millis now = static_cast<Millis>(uv_now(loop_));
+    left_ = std::min(std::max(1.0, rps_), left_ + static_cast<double>(now - filled_) / 1000.0 * rps_);
+    filled_ = now;
+    while (!queue_.empty() && left_ >= 1) {
+        left_ -= 1;
+        Call c = std::move(queue_.front());
+        queue_.pop_front();
+        http_.request(c.method, c.target, std::move(c.body), c.timeout, std::move(c.done));
+    }
+    if (!queue_.empty()) timer_.after(static_cast<Millis>((1 - left_) / rps_ * 1000.0) + 1);
+}
+
+void Cloud::types(TypesDone done) {
+    submit(false, {"GET", "/machine_types", "", kCall, [done = std::move(done)](const net::Reply& r) {
+                       auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
+                       done(body ? wire::parse_types(*body) : std::nullopt);
+                   }});
+}
+
+void Cloud::hosts(HostsDone done) {
+    host_page(std::make_shared<std::vector<wire::Host>>(), "", std::move(done));
+}
+
+void Cloud::host_page(std::shared_ptr<std::vector<wire::Host>> sofar, const std::string& after,
+                      HostsDone done) {
+    std::string target = "/hosts?limit=500";
+    if (!after.empty()) target += "&from=" + after;
+    submit(false, {"GET", target, "", kCall,
+                   [this, sofar, done = std::move(done)](const net::Reply& r) {
+                       auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
+                       auto page = body ? wire::parse_hosts(*body) : std::nullopt;
+                       if (!page) {
+                           done(std::nullopt);
+                           return;
+                       }
+                       for (wire::Host& h : page->hosts) sofar->push_back(std::move(h));
+                       if (page->more && !sofar->empty()) host_page(sofar, sofar->back().id, done);
+                       else done(*sofar);
+                   }});
+}
+
+void Cloud::hire(const std::string& request, const std::string& type, const std::string& zone,
+                 bool spot, std::uint32_t count, std::function<void(const dispatch::HireReply&)> done) {
+    submit(true, {"POST", "/hosts", wire::hire_request(request, type, zone, spot, count), kCall,
+                  [done = std::move(done)](const net::Reply& r) {
+                      dispatch::HireReply out;
+                      using Result = dispatch::HireReply::Result;
+                      if (r.outcome != net::Reply::Outcome::answered) {
+                          done(out);
+                          return;
+                      }
+                      auto body = wire::decode_map(r.body);
+                      if (r.status == 200) {
+                          auto names = body ? wire::parse_hired(*body) : std::nullopt;
+                          if (names) out = {Result::hired, std::move(*names)};
+                      } else if (r.status == 400) {
+                          out.result = Result::malformed;
+                      } else if (r.status == 503 && body && wire::text(*body, "error") == "no capacity") {
+                          out.result = Result::no_capacity;
+                      }
+                      done(out);
+                  }});
+}
+
+void Cloud::give_back(const std::vector<std::string>& machines, std::function<void(bool)> done) {
+    submit(true, {"POST", "/hosts/return", wire::return_request(machines), kCall,
+                  [done = std::move(done)](const net::Reply& r) { done(r.ok()); }});
+}
+
+}  // namespace nickelramp::fleet
--- /dev/null
+++ b/src/fleet/cloud.h
@@ -0,0 +1,53 @@
+// The cloud's client: one queue within the cloud's rate, returns and hires before lists.
+#pragma once
+#include <uv.h>
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dispatch/outbox.h"
+#include "net/http_client.h"
+#include "net/timer.h"
+#include "wire/messages.h"
+
+namespace nickelramp::fleet {
+
+class Cloud {
+  public:
+    Cloud(uv_loop_t* loop, const sockaddr_in& address, const std::string& host, double rps);
+
+    using TypesDone = std::function<void(const std::optional<std::vector<wire::MachineType>>&)>;
+    using HostsDone = std::function<void(const std::optional<std::vector<wire::Host>>&)>;
+
+    void types(TypesDone done);
+    void hosts(HostsDone done);  // all pages
+    void hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
+              std::uint32_t count, std::function<void(const dispatch::HireReply&)> done);
+    void give_back(const std::vector<std::string>& machines, std::function<void(bool)> done);
+
+  private:
+    struct Call {
+        const char* method;
+        std::string target;
+        std::string body;
+        Millis timeout;
+        net::HttpClient::Done done;
+    };
+    void submit(bool first, Call call);
+    void pump();
+    void host_page(std::shared_ptr<std::vector<wire::Host>> sofar, const std::string& after,
+                   HostsDone done);
+
+    uv_loop_t* loop_;
+    net::HttpClient http_;
+    double rps_;
+    double left_;
+    Millis filled_;
+    std::deque<Call> queue_;
+    net::Timer timer_;
+};
+
+}  // namespace nickelramp::fleet
--- /dev/null
+++ b/src/jobs/desk.cpp
@@ -0,0 +1,213 @@
+#include "jobs/desk.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "placing/placer.h"
+
+namespace nickelramp::jobs {
+
+using net::Response;
+using wire::JobStatus;
+using wire::Json;
+
+namespace {
+constexpr Millis kSubmitWait = 3500;  // users wait 5 s
+constexpr Millis kQueryWait = 1500;   // users wait 2 s
+constexpr std::size_t kMostOpen = 1000;
+constexpr int kCancelTries = 5;
+
+Response busy() { return {503, wire::encode({{"error", "try again"}}), 1, "application/cbor"}; }
+Response failure(int status, const std::string& what) {
+    return {status, wire::encode({{"error", what}}), 0, "application/cbor"};
+}
+Response ok(int status, const Json& body) { return {status, wire::encode(body), 0, "application/cbor"}; }
+}  // namespace
+
+std::string impossible(const wire::JobSpec& spec, const wire::Settings& settings,
+                       const std::vector<wire::MachineType>& types) {
+    auto team = std::find_if(settings.teams.begin(), settings.teams.end(),
+                             [&](const wire::Team& t) { return t.name == spec.team; });
+    if (team == settings.teams.end()) return "unknown team";
+    bool fits = std::any_of(types.begin(), types.end(), [&](const wire::MachineType& t) {
+        if (!spec.any_type && std::find(spec.types.begin(), spec.types.end(), t.name) == spec.types.end()) {
+            return false;
+        }
+        if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) {
+            return false;
+        }
+        return placing::covers(t.cpus, t.gpus, t.memory_gb, {spec.cpus, spec.gpus, spec.memory_gb});
+    });
+    if (!fits) return "a task fits no allowed machine type";
+    double tasks = spec.shape == wire::Shape::array ? 1.0 : spec.tasks;
+    if ((team->cpus_max > 0 && spec.cpus * tasks > team->cpus_max + placing::kSlack) ||
+        (team->gpus_max > 0 && spec.gpus * tasks > team->gpus_max + placing::kSlack)) {
+        return "needs more than the team's limit";
+    }
+    return "";
+}
+
+Desk::Desk(const wire::Settings& settings, state::Client& state, Hooks hooks)
+    : settings_(settings), state_(state), hooks_(std::move(hooks)) {}
+
+bool Desk::handle(const net::Request& request, const net::Responder& responder) {
+    const std::string& path = request.path;
+    if (path == "/work") {
+        if (request.method != "POST") responder.send(failure(405, "use POST"));
+        else if (open_ >= kMostOpen) responder.send(busy());
+        else submit(request, responder);
+        return true;
+    }
+    if (path.rfind("/work/", 0) != 0) return false;
+    std::string id = path.substr(6);
+    bool abort = id.size() > 6 && id.compare(id.size() - 6, 6, "/abort") == 0;
+    if (abort) id.resize(id.size() - 6);
+    if (!wire::valid_job_id(id)) responder.send(failure(id.find('/') == std::string::npos ? 400 : 404, "id"));
+    else if (open_ >= kMostOpen) responder.send(busy());
+    else if (abort && request.method == "POST") cancel(id, kCancelTries, responder);
+    else if (!abort && request.method == "GET") query(id, responder);
+    else responder.send(failure(405, abort ? "use POST" : "use GET"));
+    return true;
+}
+
+// Answers from the job's own record.
+void Desk::answer_known(const std::string& id, const Json& record, const net::Responder& r) {
+    auto final = wire::text(record, "final");
+    auto tasks = wire::count(record, "tasks").value_or(0);
+    if (final == wire::final_name(JobStatus::done)) {
+        r.send(ok(200, wire::job_answer(id, JobStatus::done, tasks, 0)));
+    } else if (final == wire::final_name(JobStatus::cancelled)) {
+        r.send(ok(200, wire::job_answer(id, JobStatus::cancelled, 0, 0)));
+    } else {
+        std::uint64_t done = 0, running = 0;
+        hooks_.progress(id, done, running);
+        r.send(ok(200, wire::job_answer(id, running > 0 ? JobStatus::running : JobStatus::pending, done,
+                                        running)));
+    }
+}
+
+void Desk::submit(const net::Request& request, net::Responder responder) {
+    auto body = wire::decode_map(request.body);
+    if (!body) {
+        responder.send(failure(400, "the body is no CBOR map"));
+        return;
+    }
+    std::string error;
+    auto spec = wire::parse_job(*body, error);
+    if (!spec) {
+        responder.send(failure(400, "missing or invalid: " + error));
+        return;
+    }
+    if (types_.empty()) {
+        responder.send(busy());  // what can run is not known yet
+        return;
+    }
+    const std::string id = spec->id;
+    std::string never = impossible(*spec, settings_, types_);
+    if (!never.empty()) {
+        // A job that was accepted before must not be turned away now.
+        ++open_;
+        state_.get(job_key(id), state::Urgency::user, kSubmitWait,
+                   [this, id, never, responder](const state::GetReply& r) {
+                       --open_;
+                       if (r.outcome == state::Outcome::ok) answer_known(id, r.item.value, responder);
+                       else if (r.outcome == state::Outcome::missing) responder.send(failure(422, never));
+                       else responder.send(busy());
+                   });
+        return;
+    }
+    state::Txn txn;
+    txn.conditions = {{job_key(id), 0}};
+    txn.writes = {{job_key(id), Json{{"final", nullptr}, {"tasks", spec->tasks}}},
+                  {open_key(id), open_record(*body, hooks_.wall_ms(), false)}};
+    std::size_t most = static_cast<std::size_t>(settings_.state_value_kb * 1024);
+    if (request.body.size() * 2 > most && txn.writes[1].value->dump().size() > most) {
+        responder.send(failure(400, "the description is too long"));
+        return;
+    }
+    ++open_;
+    state_.commit(txn, state::Urgency::user, kSubmitWait,
+                  [this, id, responder](const state::CommitReply& r) {
+                      --open_;
+                      if (r.outcome == state::Outcome::ok) {
+                          responder.send(ok(201, wire::job_answer(id, JobStatus::pending)));
+                      } else if (r.outcome == state::Outcome::conflict) {
+                          query(id, responder);  // known already
+                      } else {
+                          responder.send(busy());
+                      }
+                  });
+}
+
+void Desk::query(const std::string& id, net::Responder responder) {
+    ++open_;
+    state_.get(job_key(id), state::Urgency::user, kQueryWait,
+               [this, id, responder](const state::GetReply& r) {
+                   --open_;
+                   if (r.outcome == state::Outcome::ok) answer_known(id, r.item.value, responder);
+                   else if (r.outcome == state::Outcome::missing) responder.send(failure(404, "no such job"));
+                   else responder.send(busy());
+               });
+}
+
+// The job's key and its open record change together, so whoever finishes the job and whoever cancels
+// it cannot both succeed.
+void Desk::cancel(const std::string& id, int tries, net::Responder responder) {
+    if (tries == 0) {
+        responder.send(busy());
+        return;
+    }
+    ++open_;
+    state_.get(job_key(id), state::Urgency::user, kQueryWait, [this, id, tries, responder](
+                                                                  const state::GetReply& job) {
+        --open_;
+        if (job.outcome == state::Outcome::missing) {
+            responder.send(failure(404, "no such job"));
+            return;
+        }
+        if (job.outcome != state::Outcome::ok) {
+            responder.send(busy());
+            return;
+        }
+        if (wire::text(job.item.value, "final")) {
+            answer_known(id, job.item.value, responder);
+            return;
+        }
+        ++open_;
+        state_.get(open_key(id), state::Urgency::user, kQueryWait,
+                   [this, id, tries, responder, job](const state::GetReply& open) {
+                       --open_;
+                       if (open.outcome == state::Outcome::missing) {
+                           cancel(id, tries - 1, responder);  // it has just become final
+                           return;
+                       }
+                       if (open.outcome != state::Outcome::ok) {
+                           responder.send(busy());
+                           return;
+                       }
+                       Json record = open.item.value;
+                       record["cancelled"] = true;
+                       state::Txn txn;
+                       txn.conditions = {{job_key(id), job.item.version},
+                                         {open_key(id), open.item.version}};
+                       txn.writes = {{job_key(id), Json{{"final", wire::final_name(JobStatus::cancelled)},
+                                                        {"tasks", job.item.value.value("tasks", 0)}}},
+                                     {open_key(id), std::move(record)}};
+                       ++open_;
+                       state_.commit(txn, state::Urgency::user, kQueryWait,
+                                     [this, id, tries, responder](const state::CommitReply& r) {
+                                         --open_;
+                                         if (r.outcome == state::Outcome::ok) {
+                                             responder.send(ok(200, wire::job_answer(id, JobStatus::cancelled)));
+                                         } else if (r.outcome == state::Outcome::conflict) {
+                                             cancel(id, tries - 1, responder);
+                                         } else {
+                                             responder.send(busy());
+                                         }
+                                     });
+                   });
+    });
+}
+
+}  // namespace nickelramp::jobs
--- /dev/null
+++ b/src/jobs/desk.h
@@ -0,0 +1,48 @@
+// The users' desk, the same at every controller: submission, query and cancel go straight to the
+// state service, one key a job, so that no node can answer older than another did.
+#pragma once
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "jobs/job.h"
+#include "net/http_server.h"
+#include "state/client.h"
+#include "wire/messages.h"
+#include "wire/settings.h"
+
+namespace nickelramp::jobs {
+
+// Why the job can never run, or empty.
+std::string impossible(const wire::JobSpec& spec, const wire::Settings& settings,
+                       const std::vector<wire::MachineType>& types);
+
+class Desk {
+  public:
+    struct Hooks {
+        std::function<std::int64_t()> wall_ms;
+        // Counts for display, when this node knows them.
+        std::function<bool(const std::string& id, std::uint64_t& done, std::uint64_t& running)> progress;
+    };
+    Desk(const wire::Settings& settings, state::Client& state, Hooks hooks);
+
+    void set_types(const std::vector<wire::MachineType>& types) { types_ = types; }
+    bool has_types() const { return !types_.empty(); }
+
+    // Takes the request if its path is the desk's.
+    bool handle(const net::Request& request, const net::Responder& responder);
+
+  private:
+    void submit(const net::Request& request, net::Responder responder);
+    void query(const std::string& id, net::Responder responder);
+    void cancel(const std::string& id, int tries, net::Responder responder);
+    void answer_known(const std::string& id, const wire::Json& record, const net::Responder& r);
+
+    const wire::Settings& settings_;
+    state::Client& state_;
+    Hooks hooks_;
+    std::vector<wire::MachineType> types_;
+    std::size_t open_ = 0;  // requests waiting for the state service
+};
+
+}  // namespace nickelramp::jobs
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,296 @@
+#include "net/http_client.h"
+
+#include <http_parser.h>
+
+#include <algorithm>
+
+namespace nickelramp::net {
+
+namespace {
+constexpr std::size_t kMaxReply = 8 * 1024 * 1024;
+constexpr Millis kConnectTimeout = 1500;
+constexpr Millis kExpiryStep = 50;
+}  // namespace
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+  public:
+    enum class State { connecting, idle, waiting, closed };
+
+    explicit ClientConnection(HttpClient* client) : client_(client), tcp_(new uv_tcp_t) {
+        uv_tcp_init(client->loop_, tcp_);
+        tcp_->data = this;
+    }
+
+    State state() const { return state_; }
+    Millis deadline() const { return deadline_; }
+
+    void connect(HttpClient::Pending first) {
+        take(std::move(first));
+        connect_deadline_ = static_cast<Millis>(uv_now(client_->loop_)) + kConnectTimeout;
+        struct Connect {
+            uv_connect_t req;
+            std::weak_ptr<ClientConnection> owner;
+        };
+        auto* r = new Connect{{}, weak_from_this()};
+        r->req.data = r;
+        int rc = uv_tcp_connect(&r->req, tcp_,
+                                reinterpret_cast<const sockaddr*>(&client_->address_),
+                                [](uv_connect_t* req, int status) {
+                                    std::unique_ptr<Connect> r(static_cast<Connect*>(req->data));
+                                    if (auto c = r->owner.lock()) c->connected(status);
+                                });
+        if (rc < 0) {
+            delete r;
+            fail_soon_ = true;
+        }
+    }
+
+    void send(HttpClient::Pending next) {
+        take(std::move(next));
+        write();
+    }
+
+    // Called now and then by the client.
+    void check(Millis now) {
+        if (state_ == State::connecting && (fail_soon_ || now >= connect_deadline_)) {
+            finish_failed(Reply::Outcome::refused);
+        } else if ((state_ == State::connecting || state_ == State::waiting) && now >= deadline_) {
+            finish_failed(state_ == State::connecting ? Reply::Outcome::refused
+                                                      : Reply::Outcome::unknown);
+        }
+    }
+
+    void close() {
+        if (state_ == State::closed) return;
+        set_state(State::closed);
+        tcp_->data = nullptr;
+        uv_close(reinterpret_cast<uv_handle_t*>(tcp_),
+                 [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+    }
+
+  private:
+    void set_state(State s) { state_ = s; }
+
+    void take(HttpClient::Pending p) {
+        bytes_ = std::move(p.bytes);
+        deadline_ = p.deadline;
+        done_ = std::move(p.done);
+        reply_ = Reply{};
+        complete_ = false;
+        http_parser_init(&parser_, HTTP_RESPONSE);
+        parser_.data = this;
+    }
+
+    void connected(int status) {
+        if (state_ != State::connecting) return;
+        if (status < 0) {
+            finish_failed(Reply::Outcome::refused);
+            return;
+        }
+        uv_tcp_nodelay(tcp_, 1);
+        uv_read_start(
+            reinterpret_cast<uv_stream_t*>(tcp_),
+            [](uv_handle_t*, std::size_t, uv_buf_t* buf) {
+                static char shared[64 * 1024];
+                *buf = uv_buf_init(shared, sizeof shared);
+            },
+            [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
+                auto* c = static_cast<ClientConnection*>(s->data);
+                if (c == nullptr || n == 0) return;
+                auto keep = c->shared_from_this();
+                c->read(buf->base, n);
+            });
+        write();
+    }
+
+    void write() {
+        set_state(State::waiting);
+        struct Write {
+            uv_write_t req;
+            std::string data;
+            std::weak_ptr<ClientConnection> owner;
+        };
+        auto* w = new Write{{}, std::move(bytes_), weak_from_this()};
+        w->req.data = w;
+        uv_buf_t buf = uv_buf_init(w->data.data(), static_cast<unsigned>(w->data.size()));
+        int rc = uv_write(&w->req, reinterpret_cast<uv_stream_t*>(tcp_), &buf, 1,
+                          [](uv_write_t* req, int status) {
+                              std::unique_ptr<Write> w(static_cast<Write*>(req->data));
+                              auto c = w->owner.lock();
+                              if (c && status < 0 && c->state_ == State::waiting) {
+                                  c->finish_failed(Reply::Outcome::unknown);
+                              }
+                          });
+        if (rc < 0) {
+            delete w;
+            deadline_ = 0;  // fails at the next check
+        }
+    }
+
+    void read(const char* data, ssize_t n) {
+        if (state_ == State::idle) {  // closed by the server, or talking out of turn
+            close();
+            client_->drop(this);
+            return;
+        }
+        if (n < 0) {
+            http_parser_execute(&parser_, &settings(), nullptr, 0);
+            if (!complete_) {
+                finish_failed(Reply::Outcome::unknown);
+                return;
+            }
+        } else {
+            std::size_t used =
+                http_parser_execute(&parser_, &settings(), data, static_cast<std::size_t>(n));
+            if (!complete_ && (HTTP_PARSER_ERRNO(&parser_) != HPE_OK ||
+                               used != static_cast<std::size_t>(n))) {
+                finish_failed(Reply::Outcome::unknown);
+                return;
+            }
+        }
+        if (complete_) finish_answered(n >= 0 && keep_alive_);
+    }
+
+    static const http_parser_settings& settings() {
+        static const http_parser_settings s = [] {
+            http_parser_settings s;
+            http_parser_settings_init(&s);
+            s.on_body = [](http_parser* p, const char* at, std::size_t len) {
+                auto* c = static_cast<ClientConnection*>(p->data);
+                c->reply_.body.append(at, len);
+                return c->reply_.body.size() > kMaxReply ? 1 : 0;
+            };
+            s.on_message_complete = [](http_parser* p) {
+                auto* c = static_cast<ClientConnection*>(p->data);
+                c->reply_.outcome = Reply::Outcome::answered;
+                c->reply_.status = static_cast<int>(p->status_code);
+                c->keep_alive_ = http_should_keep_alive(p) != 0;
+                c->complete_ = true;
+                return 0;
+            };
+            return s;
+        }();
+        return s;
+    }
+
+    void finish_answered(bool reusable) {
+        auto done = std::move(done_);
+        Reply reply = std::move(reply_);
+        if (reusable) {
+            set_state(State::idle);
+        } else {
+            close();
+            client_->drop(this);
+        }
+        auto* client = client_;
+        done(reply);
+        client->pump();
+    }
+
+    void finish_failed(Reply::Outcome outcome) {
+        auto keep = shared_from_this();
+        auto done = std::move(done_);
+        close();
+        client_->drop(this);
+        auto* client = client_;
+        done(Reply{outcome, 0, ""});
+        client->pump();
+    }
+
+    HttpClient* client_;
+    uv_tcp_t* tcp_;
+    State state_ = State::connecting;
+    std::string bytes_;
+    Millis deadline_ = 0;
+    Millis connect_deadline_ = 0;
+    bool fail_soon_ = false;
+    HttpClient::Done done_;
+    Reply reply_;
+    bool complete_ = false;
+    bool keep_alive_ = true;
+    http_parser parser_;
+};
+
+HttpClient::HttpClient(uv_loop_t* loop, sockaddr_in address, std::string host,
+                       std::size_t max_connections, std::size_t max_queue)
+    : loop_(loop),
+      address_(address),
+      host_(std::move(host)),
+      max_connections_(max_connections),
+      max_queue_(max_queue),
+      timer_(new uv_timer_t) {
+    uv_timer_init(loop, timer_);
+    timer_->data = this;
+}
+
+HttpClient::~HttpClient() {
+    for (auto& c : connections_) c->close();
+    uv_close(reinterpret_cast<uv_handle_t*>(timer_),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+}
+
+void HttpClient::request(const char* method, const std::string& target, std::string body,
+                         Millis timeout, Done done) {
+    std::string bytes = std::string(method) + " " + target + " HTTP/1.1\r\nHost: " + host_ +
+                        "\r\nContent-Length: " + std::to_string(body.size()) +
+                        "\r\nContent-Type: application/cbor\r\n\r\n" + body;
+    Millis deadline = static_cast<Millis>(uv_now(loop_)) + timeout;
+    if (queue_.size() >= max_queue_) deadline = 0;  // refused at the next turn
+    queue_.push_back({std::move(bytes), deadline, std::move(done)});
+    if (!uv_is_active(reinterpret_cast<uv_handle_t*>(timer_))) {
+        uv_timer_start(
+            timer_, [](uv_timer_t* t) { static_cast<HttpClient*>(t->data)->expire(); },
+            deadline == 0 ? 0 : kExpiryStep, kExpiryStep);
+    }
+    pump();
+}
+
+void HttpClient::pump() {
+    if (pumping_) return;
+    pumping_ = true;
+    while (!queue_.empty() && queue_.front().deadline > 0) {
+        ClientConnection* idle = nullptr;
+        for (auto& c : connections_) {
+            if (c->state() == ClientConnection::State::idle) idle = c.get();
+        }
+        if (idle == nullptr && connections_.size() >= max_connections_) break;
+        Pending next = std::move(queue_.front());
+        queue_.pop_front();
+        if (idle != nullptr) {
+            idle->send(std::move(next));
+        } else {
+            auto c = std::make_shared<ClientConnection>(this);
+            connections_.push_back(c);
+            c->connect(std::move(next));
+        }
+    }
+    pumping_ = false;
+}
+
+void HttpClient::drop(ClientConnection* c) {
+    std::erase_if(connections_, [c](const auto& x) { return x.get() == c; });
+}
+
+void HttpClient::expire() {
+    Millis now = static_cast<Millis>(uv_now(loop_));
+    std::vector<Done> refused;
+    for (auto it = queue_.begin(); it != queue_.end();) {
+        if (now >= it->deadline) {
+            refused.push_back(std::move(it->done));
+            it = queue_.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    auto open = connections_;
+    for (auto& c : open) c->check(now);
+    for (auto& done : refused) done(Reply{Reply::Outcome::refused, 0, ""});
+    pump();
+    bool busy = !queue_.empty() ||
+                std::any_of(connections_.begin(), connections_.end(), [](const auto& c) {
+                    return c->state() != ClientConnection::State::idle;
+                });
+    if (!busy) uv_timer_stop(timer_);
+}
+
+}  // namespace nickelramp::net
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,64 @@
+// HTTP/1.1 client to one address: a few keep-alive connections, requests queued behind them.
+#pragma once
+#include <uv.h>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace nickelramp::net {
+
+struct Reply {
+    // `refused`: nothing reached the server. `unknown`: the request may have been, or may yet be,
+    // executed.
+    enum class Outcome { answered, refused, unknown };
+    Outcome outcome = Outcome::unknown;
+    int status = 0;
+    std::string body;
+
+    bool ok() const { return outcome == Outcome::answered && status == 200; }
+};
+
+class ClientConnection;
+
+class HttpClient {
+  public:
+    using Done = std::function<void(const Reply&)>;
+    HttpClient(uv_loop_t* loop, sockaddr_in address, std::string host, std::size_t max_connections,
+               std::size_t max_queue);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    // `done` is called exactly once, never from inside this call, unless the client is destroyed.
+    void request(const char* method, const std::string& target, std::string body, Millis timeout,
+                 Done done);
+    std::size_t queued() const { return queue_.size(); }
+
+  private:
+    friend class ClientConnection;
+    struct Pending {
+        std::string bytes;
+        Millis deadline;
+        Done done;
+    };
+    void pump();
+    void drop(ClientConnection* c);
+    void expire();
+
+    uv_loop_t* loop_;
+    sockaddr_in address_;
+    std::string host_;
+    std::size_t max_connections_;
+    std::size_t max_queue_;
+    std::deque<Pending> queue_;
+    std::vector<std::shared_ptr<ClientConnection>> connections_;
+    uv_timer_t* timer_;
+    bool pumping_ = false;
+};
+
+}  // namespace nickelramp::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,266 @@
+#include "net/http_server.h"
+
+#include <http_parser.h>
+#include <spdlog/spdlog.h>
+
+namespace nickelramp::net {
+
+namespace {
+constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxTarget = 4096;
+constexpr std::size_t kMaxHeaders = 16 * 1024;
+
+const char* reason(int status) {
+    return http_status_str(static_cast<http_status>(status));
+}
+}  // namespace
+
+class Connection : public std::enable_shared_from_this<Connection> {
+  public:
+    enum class State { reading, handling, closing };
+
+    explicit Connection(HttpServer* server) : server_(server), tcp_(new uv_tcp_t) {
+        uv_tcp_init(server->loop_, tcp_);
+        tcp_->data = this;
+        http_parser_init(&parser_, HTTP_REQUEST);
+        parser_.data = this;
+    }
+
+    uv_tcp_t* tcp() { return tcp_; }
+
+    void start() {
+        uv_tcp_nodelay(tcp_, 1);
+        last_active_ = uv_now(server_->loop_);
+        uv_read_start(reinterpret_cast<uv_stream_t*>(tcp_), on_alloc, on_read);
+    }
+
+    void send(const Response& r) {
+        if (state_ != State::handling) return;
+        auto keep = shared_from_this();
+        std::string head = "HTTP/1.1 " + std::to_string(r.status) + " " + reason(r.status) +
+                           "\r\nContent-Type: " + r.type +
+                           "\r\nContent-Length: " + std::to_string(r.body.size()) + "\r\n";
+        if (r.retry_after_s > 0) {
+            head += "Retry-After: " + std::to_string(r.retry_after_s) + "\r\n";
+        }
+        if (close_after_) head += "Connection: close\r\n";
+        head += "\r\n";
+        write(head + r.body, close_after_);
+        if (close_after_) return;
+        set_state(State::reading);
+        request_ = Request{};
+        headers_ = 0;
+        http_parser_pause(&parser_, 0);
+        if (!backlog_.empty()) {
+            std::string rest;
+            rest.swap(backlog_);
+            feed(rest.data(), rest.size());
+        }
+    }
+
+    void close() {
+        if (state_ == State::closing) return;
+        set_state(State::closing);
+        tcp_->data = nullptr;
+        uv_close(reinterpret_cast<uv_handle_t*>(tcp_),
+                 [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+        server_->forget(this);  // may delete this
+    }
+
+    std::uint64_t last_active() const { return last_active_; }
+
+  private:
+    struct Write {
+        uv_write_t req;
+        std::string data;
+        std::weak_ptr<Connection> owner;
+        bool last;
+    };
+
+    void set_state(State s) { state_ = s; }
+
+    void write(std::string data, bool last) {
+        auto* w = new Write{{}, std::move(data), weak_from_this(), last};
+        w->req.data = w;
+        uv_buf_t buf = uv_buf_init(w->data.data(), static_cast<unsigned>(w->data.size()));
+        int rc = uv_write(&w->req, reinterpret_cast<uv_stream_t*>(tcp_), &buf, 1,
+                          [](uv_write_t* req, int status) {
+                              std::unique_ptr<Write> w(static_cast<Write*>(req->data));
+                              auto c = w->owner.lock();
+                              if (c && (status < 0 || w->last)) c->close();
+                          });
+        if (rc < 0) {
+            delete w;
+            close();
+        }
+    }
+
+    // Answers a request that cannot be served and closes.
+    void refuse(int status) {
+        close_after_ = true;
+        set_state(State::handling);
+        send(Response{status, "", 0, "application/cbor"});
+    }
+
+    static void on_alloc(uv_handle_t*, std::size_t, uv_buf_t* buf) {
+        static char shared[64 * 1024];
+        *buf = uv_buf_init(shared, sizeof shared);
+    }
+
+    static void on_read(uv_stream_t* stream, ssize_t n, const uv_buf_t* buf) {
+        auto* c = static_cast<Connection*>(stream->data);
+        if (c == nullptr || n == 0) return;
+        auto keep = c->shared_from_this();
+        if (n < 0) {
+            c->close();
+            return;
+        }
+        c->last_active_ = uv_now(c->server_->loop_);
+        if (c->state_ == State::handling) {
+            // Requests are not pipelined; a little is tolerated, more is broken HTTP.
+            if (c->backlog_.size() + static_cast<std::size_t>(n) > kMaxBody + kMaxHeaders) {
+                c->close();
+                return;
+            }
+            c->backlog_.append(buf->base, static_cast<std::size_t>(n));
+            return;
+        }
+        c->feed(buf->base, static_cast<std::size_t>(n));
+    }
+
+    void feed(const char* data, std::size_t n) {
+        static const http_parser_settings settings = [] {
+            http_parser_settings s;
+            http_parser_settings_init(&s);
+            s.on_url = [](http_parser* p, const char* at, std::size_t len) {
+                auto* c = static_cast<Connection*>(p->data);
+                c->target_.append(at, len);
+                if (c->target_.size() <= kMaxTarget) return 0;
+                c->refusal_ = 414;
+                return 1;
+            };
+            s.on_header_field = count_header;
+            s.on_header_value = count_header;
+            s.on_body = [](http_parser* p, const char* at, std::size_t len) {
+                auto* c = static_cast<Connection*>(p->data);
+                c->request_.body.append(at, len);
+                if (c->request_.body.size() <= kMaxBody) return 0;
+                c->refusal_ = 413;
+                return 1;
+            };
+            s.on_message_complete = [](http_parser* p) {
+                auto* c = static_cast<Connection*>(p->data);
+                c->complete_ = true;
+                http_parser_pause(p, 1);
+                return 0;
+            };
+            return s;
+        }();
+        std::size_t used = http_parser_execute(&parser_, &settings, data, n);
+        if (refusal_ != 0) {
+            refuse(refusal_);
+            return;
+        }
+        auto error = HTTP_PARSER_ERRNO(&parser_);
+        if (error == HPE_HEADER_OVERFLOW) {
+            refuse(431);
+            return;
+        }
+        if (error != HPE_OK && error != HPE_PAUSED) {
+            close();
+            return;
+        }
+        if (parser_.upgrade) {
+            close();
+            return;
+        }
+        if (!complete_) return;
+        complete_ = false;
+        if (used < n) backlog_.assign(data + used, n - used);
+        auto mark = target_.find('?');
+        request_.method = http_method_str(static_cast<http_method>(parser_.method));
+        request_.path = target_.substr(0, mark);
+        request_.query = mark == std::string::npos ? "" : target_.substr(mark + 1);
+        target_.clear();
+        close_after_ = http_should_keep_alive(&parser_) == 0;
+        set_state(State::handling);
+        server_->handler_(request_, Responder(weak_from_this()));
+    }
+
+    static int count_header(http_parser* p, const char*, std::size_t len) {
+        auto* c = static_cast<Connection*>(p->data);
+        c->headers_ += len;
+        if (c->headers_ <= kMaxHeaders) return 0;
+        c->refusal_ = 431;
+        return 1;
+    }
+
+    HttpServer* server_;
+    uv_tcp_t* tcp_;
+    State state_ = State::reading;
+    http_parser parser_;
+    std::string target_;
+    Request request_;
+    std::string backlog_;
+    std::size_t headers_ = 0;
+    int refusal_ = 0;
+    bool complete_ = false;
+    bool close_after_ = false;
+    std::uint64_t last_active_ = 0;
+};
+
+void Responder::send(const Response& response) const {
+    if (auto c = connection_.lock()) c->send(response);
+}
+
+HttpServer::HttpServer(uv_loop_t* loop, std::size_t max_connections, Handler handler)
+    : loop_(loop),
+      listener_(new uv_tcp_t),
+      max_connections_(max_connections),
+      handler_(std::move(handler)) {
+    uv_tcp_init(loop, listener_);
+    listener_->data = this;
+}
+
+HttpServer::~HttpServer() {
+    auto open = connections_;
+    for (auto& [c, keep] : open) c->close();
+    uv_close(reinterpret_cast<uv_handle_t*>(listener_),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+}
+
+int HttpServer::listen(const sockaddr_in& address) {
+    int rc = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&address), 0);
+    if (rc < 0) return rc;
+    return uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 256,
+                     [](uv_stream_t* s, int status) {
+                         if (status == 0) static_cast<HttpServer*>(s->data)->accept();
+                     });
+}
+
+void HttpServer::accept() {
+    auto c = std::make_shared<Connection>(this);
+    connections_.emplace(c.get(), c);
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_),
+                  reinterpret_cast<uv_stream_t*>(c->tcp())) < 0) {
+        c->close();
+        return;
+    }
+    c->start();
+    if (connections_.size() > max_connections_) sweep();
+    if (connections_.size() > max_connections_) c->close();
+}
+
+// At the limit, the connections that have been idle longest make room.
+void HttpServer::sweep() {
+    std::uint64_t now = uv_now(loop_);
+    Connection* oldest = nullptr;
+    for (auto& [c, keep] : connections_) {
+        if (oldest == nullptr || c->last_active() < oldest->last_active()) oldest = c;
+    }
+    if (oldest != nullptr && now - oldest->last_active() > 30'000) oldest->close();
+}
+
+void HttpServer::forget(Connection* c) { connections_.erase(c); }
+
+}  // namespace nickelramp::net
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,67 @@
+// HTTP/1.1 server on libuv and http-parser: keep-alive, one request at a time per connection,
+// bounded bodies, bounded connections.
+#pragma once
+#include <uv.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "base/time.h"
+
+namespace nickelramp::net {
+
+struct Request {
+    std::string method;
+    std::string path;
+    std::string query;
+    std::string body;
+};
+
+struct Response {
+    int status = 200;
+    std::string body;
+    int retry_after_s = 0;  // sent as Retry-After when positive
+    const char* type = "application/cbor";
+};
+
+class Connection;
+
+// Answers one request; may be kept and used later. Answering a closed connection does nothing.
+class Responder {
+  public:
+    Responder() = default;
+    explicit Responder(std::weak_ptr<Connection> c) : connection_(std::move(c)) {}
+    void send(const Response& response) const;
+
+  private:
+    std::weak_ptr<Connection> connection_;
+};
+
+class HttpServer {
+  public:
+    using Handler = std::function<void(const Request&, Responder)>;
+    HttpServer(uv_loop_t* loop, std::size_t max_connections, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    int listen(const sockaddr_in& address);  // 0 or a libuv error
+    std::size_t connections() const { return connections_.size(); }
+
+  private:
+    friend class Connection;
+    void accept();
+    void forget(Connection* c);
+    void sweep();
+
+    uv_loop_t* loop_;
+    uv_tcp_t* listener_;
+    std::size_t max_connections_;
+    Handler handler_;
+    std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
+};
+
+}  // namespace nickelramp::net
--- /dev/null
+++ b/src/placing/placer.h
@@ -0,0 +1,35 @@
+// Which machine suits a task best. Pure: looks at one job and one machine.
+#pragma once
+#include <optional>
+
+#include "jobs/job.h"
+#include "wire/messages.h"
+#include "workers/roster.h"
+
+namespace nickelramp::placing {
+
+struct Need {
+    double cpus = 0, gpus = 0, memory_gb = 0;
+};
+
+inline Need need_of(const jobs::Job& j) { return {j.spec.cpus, j.spec.gpus, j.spec.memory_gb}; }
+
+// Sums of decimal amounts are off in the last bits.
+inline constexpr double kSlack = 1e-6;
+
+inline bool covers(double cpus, double gpus, double memory_gb, const Need& n) {
+    return n.cpus <= cpus + kSlack && n.gpus <= gpus + kSlack && n.memory_gb <= memory_gb + kSlack;
+}
+
+// How many tasks with this need a machine with so much free takes.
+std::uint32_t how_many(double cpus, double gpus, double memory_gb, const Need& n,
+                       std::uint32_t limit);
+
+// Lower is better: about the seconds lost by putting the task here rather than on an ideal machine.
+double cost(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type);
+
+// The image is used (or will be) on this machine; the cache keeps the most recently used ones.
+void touch_image(workers::Machine& m, const wire::MachineType& type, Index image, double gb,
+                 bool present, Millis now);
+
+}  // namespace nickelramp::placing
--- /dev/null
+++ b/src/state/client.cpp
@@ -0,0 +1,256 @@
+#include "state/client.h"
+
+#include <algorithm>
+
+namespace nickelramp::state {
+
+namespace {
+constexpr std::size_t kMaxQueue = 2000;
+constexpr Millis kListTimeout = 4000;
+constexpr Millis kBackOff = 200;
+
+Item read_item(const Json& j) {
+    Item item;
+    if (auto key = wire::text(j, "path")) item.key = *key;
+    else if (auto set = wire::text(j, "set")) item.key = *set;
+    else if (auto drop = wire::text(j, "drop")) {
+        item.key = *drop;
+        item.deleted = true;
+    }
+    item.version = wire::count(j, "stamp").value_or(0);
+    if (const Json* v = wire::field(j, "v")) item.value = *v;
+    return item;
+}
+
+bool read_items(const Json& body, const char* name, std::vector<Item>& out) {
+    const Json* list = wire::field(body, name);
+    if (list == nullptr || !list->is_array()) return false;
+    for (const Json& j : *list) {
+        Item item = read_item(j);
+        if (item.key.empty()) return false;
+        out.push_back(std::move(item));
+    }
+    return true;
+}
+
+LeaseReply lease_reply(const net::Reply& r) {
+    LeaseReply out;
+    out.outcome = outcome_of(r);
+    if (out.outcome != Outcome::ok) return out;
+    auto body = wire::decode_map(r.body);
+    auto lease = body ? wire::count(*body, "permit") : std::nullopt;
+    if (lease) out.lease = *lease;
+    return out;
+}
+}  // namespace
+
+Outcome outcome_of(const net::Reply& r) {
+    if (r.outcome == net::Reply::Outcome::refused) return Outcome::refused;
+    if (r.outcome == net::Reply::Outcome::unknown) return Outcome::unknown;
+    switch (r.status) {
+        case 200: return Outcome::ok;
+        case 404: return Outcome::missing;
+        case 409: return Outcome::conflict;
+        case 410: return Outcome::expired;
+        case 429:
+        case 503: return Outcome::refused;
+        default: return Outcome::broken;
+    }
+}
+
+Client::Client(uv_loop_t* loop, const sockaddr_in& address, const std::string& host, Limits limits)
+    : loop_(loop),
+      calls_(loop, address, host, 12, kMaxQueue),
+      renewals_(loop, address, host, 2, 16),
+      watches_(loop, address, host, 4, 16),
+      limits_(limits),
+      requests_left_(limits.requests_per_s),
+      writes_left_(limits.writes_per_s),
+      filled_(static_cast<Millis>(uv_now(loop))),
+      timer_(loop, [this] { pump(); }) {}
+
+void Client::submit(Urgency urgency, Call call) {
+    auto& queue = queues_[static_cast<int>(urgency)];
+    call.deadline = now() + call.timeout;
+    if (queue.size() >= kMaxQueue) call.deadline = 0;  // shed at the next turn
+    queue.push_back(std::move(call));
+    pump();
+}
+
+void Client::pump() {
+    Millis t = now();
+    double elapsed = static_cast<double>(t - filled_) / 1000.0;
+    filled_ = t;
+    requests_left_ = std::min(limits_.requests_per_s, requests_left_ + elapsed * limits_.requests_per_s);
+    writes_left_ = std::min(limits_.writes_per_s, writes_left_ + elapsed * limits_.writes_per_s);
+    std::vector<net::HttpClient::Done> shed;
+    bool waiting = false;
+    for (auto& queue : queues_) {
+        while (!queue.empty()) {
+            Call& c = queue.front();
+            if (t >= c.deadline) {
+                shed.push_back(std::move(c.done));
+                queue.pop_front();
+                continue;
+            }
+            // A transaction larger than what is ever saved up may overdraw.
+            if (t < slow_until_ || requests_left_ < 1 ||
+                writes_left_ < std::min(c.writes, limits_.writes_per_s / 2)) {
+                waiting = true;
+                break;
+            }
+            requests_left_ -= 1;
+            writes_left_ -= c.writes;
+            Call call = std::move(c);
+            queue.pop_front();
+            calls_.request(call.method, call.target, std::move(call.body), call.deadline - t,
+                           [this, done = std::move(call.done)](const net::Reply& r) {
+                               note(r);
+                               done(r);
+                           });
+        }
+        if (waiting) break;
+    }
+    if (waiting) timer_.after(10);
+    for (auto& done : shed) done(net::Reply{net::Reply::Outcome::refused, 0, ""});
+}
+
+void Client::note(const net::Reply& r) {
+    if (r.outcome != net::Reply::Outcome::answered) return;
+    if (r.status == 503) last_refusal_ = now();
+    else last_answer_ = now();
+    if (r.status == 429) slow_until_ = now() + kBackOff;
+}
+
+void Client::get(const std::string& key, Urgency urgency, Millis timeout, GetDone done) {
+    submit(urgency, Call{"GET", "/kv/" + key, "", 0, timeout, 0,
+                         [done = std::move(done)](const net::Reply& r) {
+                             GetReply out;
+                             out.outcome = outcome_of(r);
+                             if (out.outcome == Outcome::ok) {
+                                 auto body = wire::decode_map(r.body);
+                                 if (body) out.item = read_item(*body);
+                                 if (out.item.key.empty()) out.outcome = Outcome::broken;
+                             }
+                             done(out);
+                         }});
+}
+
+void Client::list(const std::string& prefix, Urgency urgency, ListDone done) {
+    list_page(std::make_shared<ListReply>(), prefix, "", urgency, std::move(done));
+}
+
+void Client::list_page(std::shared_ptr<ListReply> sofar, const std::string& prefix,
+                       const std::string& after, Urgency urgency, ListDone done) {
+    std::string target = "/kv?under=" + prefix + "&limit=500";
+    if (!after.empty()) target += "&from=" + after;
+    submit(urgency, Call{"GET", target, "", 0, kListTimeout, 0,
+                         [this, sofar, prefix, urgency, done = std::move(done)](const net::Reply& r) {
+                             sofar->outcome = outcome_of(r);
+                             if (sofar->outcome != Outcome::ok) {
+                                 done(std::move(*sofar));
+                                 return;
+                             }
+                             auto body = wire::decode_map(r.body);
+                             if (!body || !read_items(*body, "items", sofar->items)) {
+                                 sofar->outcome = Outcome::broken;
+                                 done(std::move(*sofar));
+                                 return;
+                             }
+                             if (sofar->revision == 0) {
+                                 sofar->revision = wire::count(*body, "epoch").value_or(0);
+                             }
+                             bool more = wire::flag(*body, "truncated").value_or(false);
+                             if (more && !sofar->items.empty()) {
+                                 std::string last = sofar->items.back().key;
+                                 list_page(sofar, prefix, last, urgency, done);
+                             } else {
+                                 done(std::move(*sofar));
+                             }
+                         }});
+}
+
+void Client::commit(const Txn& txn, Urgency urgency, Millis timeout, CommitDone done) {
+    Json when = Json::array();
+    for (const Condition& c : txn.conditions) {
+        when.push_back({{"path", c.key}, {"stamp", c.version}});
+    }
+    Json writes = Json::array();
+    for (const Write& w : txn.writes) {
+        if (!w.value) {
+            writes.push_back({{"drop", w.key}});
+            continue;
+        }
+        Json put = {{"set", w.key}, {"v", *w.value}};
+        if (w.lease != 0) put["permit"] = w.lease;
+        writes.push_back(std::move(put));
+    }
+    std::string body = wire::encode({{"when", std::move(when)}, {"writes", std::move(writes)}});
+    submit(urgency,
+           Call{"POST", "/commit", std::move(body), static_cast<double>(txn.writes.size()), timeout,
+                0, [done = std::move(done)](const net::Reply& r) {
+                    CommitReply out;
+                    out.outcome = outcome_of(r);
+                    auto body = r.body.empty() ? std::nullopt : wire::decode_map(r.body);
+                    if (body) {
+                        out.revision = wire::count(*body, "epoch").value_or(0);
+                        if (const Json* failed = wire::field(*body, "failed");
+                            failed != nullptr && failed->is_array()) {
+                            for (const Json& k : *failed) {
+                                if (k.is_string()) out.failed.push_back(k.get<std::string>());
+                            }
+                        }
+                        if (r.status == 400 && wire::text(*body, "error") == "no such lease") {
+                            out.outcome = Outcome::expired;
+                        }
+                    }
+                    if (out.outcome == Outcome::ok && out.revision == 0) {
+                        out.outcome = Outcome::unknown;  // nothing usable was said
+                    }
+                    done(out);
+                }});
+}
+
+void Client::lease(Millis ttl, LeaseDone done) {
+    renewals_.request("POST", "/holds", wire::encode({{"life_ms", ttl}}), 2000,
+                      [this, done = std::move(done)](const net::Reply& r) {
+                          note(r);
+                          LeaseReply out = lease_reply(r);
+                          if (out.outcome == Outcome::ok && out.lease == 0) {
+                              out.outcome = Outcome::broken;
+                          }
+                          done(out);
+                      });
+}
+
+void Client::renew(std::uint64_t lease, Millis timeout, LeaseDone done) {
+    renewals_.request("POST", "/holds/" + std::to_string(lease) + "/touch", "", timeout,
+                      [this, done = std::move(done)](const net::Reply& r) {
+                          note(r);
+                          done(lease_reply(r));
+                      });
+}
+
+void Client::end_lease(std::uint64_t lease) {
+    renewals_.request("DELETE", "/holds/" + std::to_string(lease), "", 2000,
+                      [](const net::Reply&) {});
+}
+
+void Client::watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done) {
+    std::string target = "/watch?under=" + prefix + "&from=" + std::to_string(after) +
+                         "&hold_ms=" + std::to_string(wait);
+    watches_.request("GET", target, "", wait + 5000, [this, done = std::move(done)](const net::Reply& r) {
+        note(r);
+        ListReply out;
+        out.outcome = outcome_of(r);
+        if (out.outcome == Outcome::ok) {
+            auto body = wire::decode_map(r.body);
+            auto revision = body ? wire::count(*body, "epoch") : std::nullopt;
+            if (!revision || !read_items(*body, "news", out.items)) out.outcome = Outcome::broken;
+            else out.revision = *revision;
+        }
+        done(std::move(out));
+    });
+}
+
+}  // namespace nickelramp::state
--- /dev/null
+++ b/src/state/client.h
@@ -0,0 +1,133 @@
+// The state service's client: typed calls, one budget with submissions and cancels first.
+#pragma once
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/http_client.h"
+#include "net/timer.h"
+#include "wire/cbor.h"
+
+namespace nickelramp::state {
+
+using wire::Json;
+
+enum class Outcome {
+    ok,
+    conflict,  // 409: a condition failed
+    missing,   // 404
+    expired,   // 410 for watches, 400 "no such lease" for puts
+    refused,   // certainly not executed: 503, 429, never sent
+    unknown,   // may have been, or may yet be, executed
+    broken,    // an answer that breaks the protocol
+};
+
+struct Item {
+    std::string key;
+    Json value;
+    std::uint64_t version = 0;
+    bool deleted = false;
+};
+
+struct GetReply {
+    Outcome outcome = Outcome::unknown;
+    Item item;
+};
+struct ListReply {
+    Outcome outcome = Outcome::unknown;
+    std::vector<Item> items;
+    std::uint64_t revision = 0;
+};
+struct CommitReply {
+    Outcome outcome = Outcome::unknown;
+    std::uint64_t revision = 0;
+    std::vector<std::string> failed;
+};
+struct LeaseReply {
+    Outcome outcome = Outcome::unknown;
+    std::uint64_t lease = 0;
+};
+
+struct Condition {
+    std::string key;
+    std::uint64_t version = 0;
+};
+struct Write {
+    std::string key;
+    std::optional<Json> value;  // none: delete
+    std::uint64_t lease = 0;    // 0: none
+};
+struct Txn {
+    std::vector<Condition> conditions;
+    std::vector<Write> writes;
+};
+
+// What goes first when the budget is short.
+enum class Urgency { user, control, work };
+
+struct Limits {
+    double requests_per_s = 0;
+    double writes_per_s = 0;
+};
+
+class Client {
+  public:
+    Client(uv_loop_t* loop, const sockaddr_in& address, const std::string& host, Limits limits);
+
+    using GetDone = std::function<void(const GetReply&)>;
+    using ListDone = std::function<void(ListReply)>;
+    using CommitDone = std::function<void(const CommitReply&)>;
+    using LeaseDone = std::function<void(const LeaseReply&)>;
+
+    void get(const std::string& key, Urgency urgency, Millis timeout, GetDone done);
+    // All keys with the prefix, page by page. The revision is that of the first page.
+    void list(const std::string& prefix, Urgency urgency, ListDone done);
+    void commit(const Txn& txn, Urgency urgency, Millis timeout, CommitDone done);
+    void lease(Millis ttl, LeaseDone done);
+    void renew(std::uint64_t lease, Millis timeout, LeaseDone done);
+    void end_lease(std::uint64_t lease);
+    // One long poll; the caller opens the next.
+    void watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done);
+
+    Millis last_answer() const { return last_answer_; }    // when an answer last came, refusals aside
+    Millis last_refusal() const { return last_refusal_; }  // when a 503 last came
+
+  private:
+    struct Call {
+        const char* method;
+        std::string target;
+        std::string body;
+        double writes;
+        Millis timeout;
+        Millis deadline;
+        net::HttpClient::Done done;
+    };
+    void submit(Urgency urgency, Call call);
+    void pump();
+    void list_page(std::shared_ptr<ListReply> sofar, const std::string& prefix,
+                   const std::string& after, Urgency urgency, ListDone done);
+    void note(const net::Reply& reply);
+    Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
+
+    uv_loop_t* loop_;
+    net::HttpClient calls_;
+    net::HttpClient renewals_;
+    net::HttpClient watches_;
+    Limits limits_;
+    double requests_left_;
+    double writes_left_;
+    Millis filled_;
+    std::deque<Call> queues_[3];
+    net::Timer timer_;
+    Millis last_answer_ = 0;
+    Millis last_refusal_ = -1;
+    Millis slow_until_ = 0;  // after a 429
+};
+
+// A sensible reply for everything but 200.
+Outcome outcome_of(const net::Reply& reply);
+
+}  // namespace nickelramp::state
--- /dev/null
+++ b/src/wire/cbor.h
@@ -0,0 +1,23 @@
+// CBOR bodies, by nlohmann's reader and writer, and checked access to their fields.
+#pragma once
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+namespace nickelramp::wire {
+
+using Json = nlohmann::json;
+
+std::string encode(const Json& value);
+// Nothing for bodies that are not CBOR, nest too deeply, or are no map.
+std::optional<Json> decode_map(const std::string& body);
+
+// Fields of messages. Absent and null read the same.
+const Json* field(const Json& map, const char* name);
+std::optional<std::string> text(const Json& map, const char* name);
+std::optional<double> amount(const Json& map, const char* name);        // finite, >= 0
+std::optional<std::uint64_t> count(const Json& map, const char* name);  // integer >= 0
+std::optional<bool> flag(const Json& map, const char* name);
+
+}  // namespace nickelramp::wire
--- /dev/null
+++ b/src/workers/roster.h
@@ -0,0 +1,97 @@
+// What the leader believes of each machine: who it is, what it last said, what may be on it.
+#pragma once
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/names.h"
+#include "base/time.h"
+#include "jobs/job.h"
+#include "wire/messages.h"
+
+namespace nickelramp::workers {
+
+// booting:   hired, has not reported yet
+// joining:   has reported; the block record that grants it is not committed yet, or the token that
+//            this term gave it is not confirmed
+// ready:     may be given tasks
+// draining:  gets no new tasks; goes back to the cloud when empty or when its time is up
+// returning: the cloud was told to take it back
+// gone:      proven gone, with everything on it
+enum class MachineState { booting, joining, ready, draining, returning, gone };
+const char* name(MachineState s);
+
+struct CachedImage {
+    Index image = kNone;
+    double gb = 0;
+    Millis used = 0;
+    bool present = false;  // false: still being fetched
+};
+
+struct Machine {
+    Index index = kNone;
+    std::string name, address;
+    Index type = kNone, zone = kNone;
+    bool spot = false;
+    MachineState state = MachineState::booting;
+    Millis hired_at = 0;
+    Millis up_at = 0;
+    Millis listed_running_at = 0;
+    bool late = false;  // boots longer than counted on
+
+    std::uint64_t session = 0, seq = 0;
+    std::uint64_t token = 0;       // the one that this term uses for it
+    std::uint64_t seen_token = 0;  // highest it has reported
+    Millis heard_at = 0;           // last report of any kind
+    Millis lease_until = 0;        // by then its tasks are gone unless it is answered again
+    Millis warned_until = 0;       // spot notice: taken back about then; 0: none
+
+    std::vector<jobs::Attempt*> attempts;
+    double cpus_free = 0, gpus_free = 0, memory_free = 0;
+    std::vector<CachedImage> images;
+    Millis idle_since = 0;
+
+    Index reserved_for = kNone;  // job that room is being made for
+    Millis reserved_until = 0;
+
+    // Sickness: jobs that failed here since a task last completed.
+    std::vector<Index> failed_jobs;
+    Millis probation_until = 0;
+
+    // Commands.
+    bool direct_in_flight = false;
+    bool wants_confirm = false;  // send the token even with no commands
+    Millis retry_direct_at = 0;
+    std::uint32_t direct_failures = 0;
+    bool granted = false;  // in a committed block record
+    bool return_in_flight = false;
+
+    void set_state(MachineState s) { state = s; }
+    bool confirmed() const { return token != 0 && seen_token == token; }
+    bool usable() const { return state == MachineState::ready; }
+    bool empty() const;
+};
+
+class Roster {
+  public:
+    Machine* add(const std::string& name);
+    Machine* find(const std::string& name);
+    // Null once the machine is gone.
+    Machine* at(Index i) { return machines_[i].get(); }
+    void remove(Machine* m);  // keeps a tombstone of the name
+    bool buried(const std::string& name) const { return buried_.count(name) != 0; }
+
+    // All machines there are, in no order.
+    const std::vector<Machine*>& all() const { return all_; }
+
+  private:
+    std::vector<std::unique_ptr<Machine>> machines_;
+    std::vector<Machine*> all_;
+    std::unordered_map<std::string, Machine*> by_name_;
+    std::unordered_map<std::string, bool> buried_;
+    std::vector<std::string> graves_;
+    std::size_t next_grave_ = 0;
+};
+
+}  // namespace nickelramp::workers
