--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -23,10 +23,14 @@
     spdlog::set_default_logger(logger);
     const char* env = std::getenv("LOG_LEVEL");
     std::string level = env == nullptr || *env == '\0' ? "info" : env;
-    if (level == "error") spdlog::set_level(spdlog::level::err);
-    else if (level == "info") spdlog::set_level(spdlog::level::info);
-    else if (level == "debug") spdlog::set_level(spdlog::level::debug);
-    else return false;
+    if (level == "error")
+        spdlog::set_level(spdlog::level::err);
+    else if (level == "info")
+        spdlog::set_level(spdlog::level::info);
+    else if (level == "debug")
+        spdlog::set_level(spdlog::level::debug);
+    else
+        return false;
     return true;
 }
 
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 constexpr Millis kTick = 200;
-constexpr Millis kOpenWait = 2000;  // a watch is renewed this often, so that the view's age is known
+constexpr Millis kOpenWait =
+    2000;  // a watch is renewed this often, so that the view's age is known
 constexpr Millis kLoadRetry = 500;
 constexpr Millis kDirect = 2000;
 constexpr Millis kCommit = 2500;
@@ -20,16 +21,15 @@
 constexpr std::uint32_t kShare = 2;  // machines lent to each other controller
 constexpr Millis kTellEvery = 1000;
 constexpr Millis kPeerFresh = 2'500;
-constexpr Millis kRefusedFor = 1'500;   // a node refused for so long says so
-constexpr Millis kAfterLease = 10'000;  // a block's workers are answered so long after its lease
+constexpr Millis kRefusedFor = 1'500;  // a node refused for so long says so
 constexpr std::size_t kMostShown = 1000;
 constexpr Millis kPruneEvery = 10'000;
 constexpr Millis kRest = 20'000;  // after handing over
 constexpr const char* kTypesKey = "fleet/types";
 
 state::Limits share_of(const wire::Settings& s) {
-    // The budget is one for all controllers. Their needs differ by the moment: each may use half, and
-    // a 429 slows it down.
+    // The budget is one for all controllers. Their needs differ by the moment: each may use half,
+    // and a 429 slows it down.
     return {s.state_rps * 0.5, s.state_write_rps * 0.5};
 }
 
@@ -84,14 +84,19 @@
                    }),
       watch_timer_(loop, [this] { watch_open(); }),
       leader_box_(*this, [this](const std::string& why) { election_.step_down(why, 0); }),
-      holder_box_(*this, [this](const std::string& why) { end_holding(why); }),
+      holder_box_(*this,
+                  [this](const std::string& why) {
+                      holding_.end(why);
+                      bury_timer_.after(0);
+                  }),
       mesh_(loop, settings.peers,
-            {[this](const peers::Status& s) { heard(s); }, [this](const peers::Grant& g) { granted(g); },
+            {[this](const peers::Status& s) { heard(s); },
+             [this](const peers::Grant& g) { granted(g); },
              [this](const peers::News& n) {
                  if (book_ == Book::running) dispatcher_->on_news(n, now());
              }}),
-      drop_timer_(loop, [this] { dropped_.clear(); }),
-      incarnation_(seed_of(settings.name) | 1) {}
+      holding_(settings, leadership::kTermKey, holder_box_, seed_of(settings.name) | 1),
+      bury_timer_(loop, [this] { holding_.bury(); }) {}
 
 int Node::start() {
     int rc = server_.listen(*net::parse_address(settings_.listen));
@@ -118,9 +123,9 @@
     return tv.tv_sec * 1000 + tv.tv_usec / 1000;
 }
 
-// Able to take requests. In an outage of the state service that everybody has, all stay ready: users
-// are told to come back, and no health check has to recover afterwards. A node that alone is refused
-// steps aside.
+// Able to take requests. In an outage of the state service that everybody has, all stay ready:
+// users are told to come back, and no health check has to recover afterwards. A node that alone is
+// refused steps aside.
 bool Node::ready() const {
     if (!desk_.has_types()) return false;
     return state_served() || !peers_served();
@@ -139,8 +144,10 @@
 
 void Node::handle(const net::Request& request, net::Responder responder) {
     if (request.path == "/checkin") {
-        if (request.method != "POST") responder.send({405, "", 0, "application/cbor"});
-        else checkin(request, responder);
+        if (request.method != "POST")
+            responder.send({405, "", 0, "application/cbor"});
+        else
+            checkin(request, responder);
         return;
     }
     if (request.path == "/ready") {
@@ -161,7 +168,7 @@
             responder.send({421, wire::redirect(leader), 0, "application/cbor"});
         }
     };
-    if (book_ != Book::running && !holding_) {
+    if (book_ != Book::running && holding_.state() == dispatch::HoldingState::empty) {
         redirect();
         return;
     }
@@ -171,22 +178,21 @@
         responder.send({400, "", 0, "application/cbor"});
         return;
     }
-    bool holds = holding_ && std::any_of(grant_.machines.begin(), grant_.machines.end(),
-                                         [&](const auto& m) { return m.name == report->machine; });
-    if (book_ != Book::running && !holds) {
+    dispatch::CheckinAnswer answer;
+    if (holding_.holds(report->machine)) {
+        answer = holding_.on_checkin(*report, now());
+    } else if (book_ != Book::running) {
         redirect();
         return;
+    } else if (now() - view_fresh_ > dispatch::answer_bound(settings_)) {
+        // Whoever cannot know of a cancellation must let the leases run out in time.
+        answer.status = 503;
+    } else {
+        answer = dispatcher_->on_checkin(*report, now());
     }
-    auto* book = holds ? holding_.get() : dispatcher_.get();
-    // Whoever cannot know of a cancellation must let the leases run out in time.
-    Millis fresh = holds ? grant_view_fresh_ : view_fresh_;
-    if (now() - fresh > dispatch::answer_bound(settings_)) {
-        responder.send({503, "", 1, "application/cbor"});
-        return;
-    }
-    auto answer = book->on_checkin(*report, now());
     if (answer.status == 200) {
-        responder.send({200, wire::report_answer(answer.token, answer.commands), 0, "application/cbor"});
+        responder.send(
+            {200, wire::report_answer(answer.token, answer.commands), 0, "application/cbor"});
     } else if (answer.status == 421 && !answer.holder.empty()) {
         responder.send({421, wire::redirect(answer.holder), 0, "application/cbor"});
     } else if (answer.status == 421) {
@@ -196,14 +202,16 @@
     }
 }
 
-// --- the term -------------------------------------------------------------------------------------
+// --- the term
+// -------------------------------------------------------------------------------------
 
 void Node::elected(std::uint64_t term, std::uint64_t version) {
     ++generation_;
     term_ = term;
     term_version_ = version;
     close_timer_.stop();
-    end_holding("this node leads");
+    holding_.end("this node leads");
+    bury_timer_.after(0);
     dispatcher_.reset();
     workers_.clear();
     set_book(Book::loading);
@@ -235,8 +243,8 @@
                             dispatch::Outbox& outbox = leader_box_;
                             dispatcher_ = std::make_unique<dispatch::Dispatcher>(
                                 settings_,
-                                dispatch::TermInfo{term_, leadership::kTermKey, term_version_}, outbox,
-                                now());
+                                dispatch::TermInfo{term_, leadership::kTermKey, term_version_},
+                                outbox, now());
                             auto& d = *dispatcher_;
                             d.load_types(types_);
                             for (const auto& i : block.items) {
@@ -247,8 +255,10 @@
                                 d.load_block(n, std::move(*b));
                             }
                             for (const auto& i : open.items) {
-                                if (auto r = jobs::read_open(i.value)) d.load_job(*r, i.version, wall_ms(), now());
-                                else spdlog::error("record {} cannot be read", i.key);
+                                if (auto r = jobs::read_open(i.value))
+                                    d.load_job(*r, i.version, wall_ms(), now());
+                                else
+                                    spdlog::error("record {} cannot be read", i.key);
                             }
                             for (const auto& i : run.items) {
                                 std::string id;
@@ -340,7 +350,7 @@
         tell_at_ = now() + kTellEvery;
         tell_peers();
     }
-    check_holding();
+    tend_holding();
     if (book_ != Book::running) return;
     dispatcher_->tick(now());
     if (dispatcher_->cut_off(now())) {
@@ -358,7 +368,7 @@
         prune_at_ = now() + kPruneEvery;
         std::unordered_map<std::string, bool> alive;
         for (const auto* m : dispatcher_->roster().all()) alive[m->name] = true;
-        for (const auto& m : grant_.machines) alive[m.name] = true;
+        for (const auto& m : holding_.machines()) alive[m.name] = true;
         std::erase_if(workers_, [&](const auto& w) { return alive.count(w.first) == 0; });
     }
     if (!state_served() && peers_served() && election_.state() == leadership::State::doubting) {
@@ -366,7 +376,8 @@
     }
 }
 
-// --- the back channel -----------------------------------------------------------------------------
+// --- the back channel
+// -----------------------------------------------------------------------------
 
 void Node::heard(const peers::Status& s) {
     peer_news_[s.from] = {now(), s.state_ok != 0};
@@ -382,7 +393,7 @@
 void Node::tell_peers() {
     peers::Status s;
     s.from = settings_.name;
-    s.incarnation = incarnation_;
+    s.incarnation = holding_.incarnation();
     s.clock_ms = static_cast<std::uint64_t>(now());
     s.term = book_ == Book::running ? term_ : 0;
     s.state_ok = state_served() ? 1 : 0;
@@ -395,107 +406,27 @@
     }
     mesh_.send_all(peers::encode(s));
     if (book_ == Book::running) send_grants();
-    if (!holding_) return;
-    peers::News news;
-    news.from = settings_.name;
-    news.term = grant_.term;
-    news.token = grant_.token;
-    for (const auto& [id, loaded] : lent_) {
-        if (!loaded) continue;
-        auto p = holding_->progress(id);
-        news.jobs.push_back({id, p.done, p.running, p.known ? 0u : 1u});
-    }
-    news.troubled = holding_->troubled();
-    mesh_.send(grant_.from, peers::encode(news));
+    if (auto news = holding_.news()) mesh_.send(holding_.leader(), peers::encode(*news));
 }
 
 void Node::send_grants() {
-    for (const auto& [peer, g] : dispatcher_->grants(view_fresh_, now())) mesh_.send(peer, peers::encode(g));
+    for (const auto& [peer, g] : dispatcher_->grants(view_fresh_, now()))
+        mesh_.send(peer, peers::encode(g));
 }
 
-// The lease runs from when this node sent the status that the grant answers.
 void Node::granted(const peers::Grant& g) {
-    Millis asked = static_cast<Millis>(g.asked_ms);
-    if (asked > now() || g.term < grant_.term || (g.term == grant_.term && g.token < grant_.token)) {
-        return;  // out of order
-    }
-    if (g.incarnation != incarnation_ || g.token == ended_token_) {
-        return;  // for the process before this one, or for a block that was let go
-    }
-    Millis until = asked + shorter(static_cast<Millis>(g.lease_ms));
-    if (until <= now() || book_ == Book::running) return;
-    if (!holding_ || g.token != grant_.token) {
-        if (holding_) end_holding("another block is granted");
-        spdlog::info("holding block {} of {} machines for {}", g.block, g.machines.size(), g.from);
-        grant_ = g;
-        holding_ = std::make_unique<dispatch::Dispatcher>(
-            settings_, dispatch::TermInfo{g.term, leadership::kTermKey, g.term_version}, holder_box_, now(),
-            dispatch::Role::holder);
-        holding_->load_types(types_);
-        holding_->hold(g, now());
-    }
-    lease_until_ = std::max(lease_until_, until);
-    grant_view_fresh_ = std::max(grant_view_fresh_, asked - static_cast<Millis>(g.view_age_ms));
-    holding_->set_confirmed(true);
-    for (const auto& job : g.jobs) {
-        if (job.cancelled != 0) holding_->cancel_lent(job.id, now());
-        if (lent_.count(job.id) != 0) continue;
-        lent_[job.id] = false;
-        fetch_lent(job.id);
-    }
-}
-
-void Node::fetch_lent(const std::string& id) {
-    auto token = grant_.token;
-    auto valid = [this, token, id] { return holding_ && grant_.token == token && lent_.count(id) != 0; };
-    state_.get(jobs::open_key(id), state::Urgency::work, kCommit, [this, id, valid](const state::GetReply& open) {
-        if (!valid()) return;
-        if (open.outcome == state::Outcome::missing) {
-            lent_[id] = true;  // over already
-            return;
-        }
-        auto record = open.outcome == state::Outcome::ok ? jobs::read_open(open.item.value) : std::nullopt;
-        if (!record) {
-            lent_.erase(id);  // the next grant names it again
-            return;
-        }
-        state_.list("run/" + id + "/", state::Urgency::work,
-                    [this, id, valid, record, version = open.item.version](const state::ListReply& runs) {
-                        if (!valid()) return;
-                        if (runs.outcome != state::Outcome::ok) {
-                            lent_.erase(id);
-                            return;
-                        }
-                        lent_[id] = true;
-                        holding_->lent_job(*record, version, runs, wall_ms(), now());
-                    });
-    });
+    if (book_ == Book::running) return;
+    holding_.on_grant(g, types_, wall_ms(), now());
+    tend_holding();
 }
 
-void Node::check_holding() {
-    if (!holding_) return;
-    if (now() >= lease_until_) {
-        holding_->set_confirmed(false);  // nothing new; what runs is looked after a little longer
-        if (now() - lease_until_ > kAfterLease) {
-            end_holding("the lease has ended");
-            return;
-        }
-    }
-    holding_->tick(now());
-}
-
-void Node::end_holding(const std::string& why) {
-    if (!holding_) return;
-    ended_token_ = grant_.token;
-    spdlog::info("block {} is not held any more: {}", grant_.block, why);
-    // Not at once: the book may be in the middle of something.
-    dropped_.push_back(std::move(holding_));
-    drop_timer_.after(0);
-    lent_.clear();
-    lease_until_ = 0;
+void Node::tend_holding() {
+    holding_.tick(now());
+    if (holding_.buries()) bury_timer_.after(0);
 }
 
-// --- cloud ----------------------------------------------------------------------------------------
+// --- cloud
+// ----------------------------------------------------------------------------------------
 
 void Node::poll_hosts() {
     if (book_ != Book::running) return;
@@ -536,27 +467,33 @@
     });
 }
 
-// --- outbox ---------------------------------------------------------------------------------------
+// --- outbox
+// ---------------------------------------------------------------------------------------
 
-void Node::Box::commit(state::Txn txn, std::function<void(Millis, const state::CommitReply&)> done) {
-    node_.state_.commit(txn, state::Urgency::work, kCommit,
-                  [&n = node_, done = std::move(done)](const state::CommitReply& r) { done(n.now(), r); });
+void Node::Box::commit(state::Txn txn,
+                       std::function<void(Millis, const state::CommitReply&)> done) {
+    node_.state_.commit(
+        txn, state::Urgency::work, kCommit,
+        [&n = node_, done = std::move(done)](const state::CommitReply& r) { done(n.now(), r); });
 }
 
-void Node::Box::read(const std::string& key, std::function<void(Millis, const state::GetReply&)> done) {
-    node_.state_.get(key, state::Urgency::work, kCommit,
-               [&n = node_, done = std::move(done)](const state::GetReply& r) { done(n.now(), r); });
+void Node::Box::read(const std::string& key,
+                     std::function<void(Millis, const state::GetReply&)> done) {
+    node_.state_.get(
+        key, state::Urgency::work, kCommit,
+        [&n = node_, done = std::move(done)](const state::GetReply& r) { done(n.now(), r); });
 }
 
 void Node::Box::list(const std::string& prefix,
                      std::function<void(Millis, const state::ListReply&)> done) {
-    node_.state_.list(prefix, state::Urgency::work,
-                      [&n = node_, done = std::move(done)](const state::ListReply& r) { done(n.now(), r); });
+    node_.state_.list(
+        prefix, state::Urgency::work,
+        [&n = node_, done = std::move(done)](const state::ListReply& r) { done(n.now(), r); });
 }
 
 void Node::Box::direct(const std::string& machine, const std::string& address, std::uint64_t token,
-                  std::uint64_t session, const std::vector<wire::Command>& commands,
-                  std::function<void(Millis, const dispatch::DirectReply&)> done) {
+                       std::uint64_t session, const std::vector<wire::Command>& commands,
+                       std::function<void(Millis, const dispatch::DirectReply&)> done) {
     auto& client = node_.workers_[machine];
     if (!client) {
         auto parsed = net::parse_address(address);
@@ -583,14 +520,18 @@
                     });
 }
 
-void Node::Box::hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
-                std::uint32_t count, std::function<void(Millis, const dispatch::HireReply&)> done) {
-    node_.cloud_.hire(request, type, zone, spot, count,
-                [&n = node_, done = std::move(done)](const dispatch::HireReply& r) { done(n.now(), r); });
+void Node::Box::hire(const std::string& request, const std::string& type, const std::string& zone,
+                     bool spot, std::uint32_t count,
+                     std::function<void(Millis, const dispatch::HireReply&)> done) {
+    node_.cloud_.hire(
+        request, type, zone, spot, count,
+        [&n = node_, done = std::move(done)](const dispatch::HireReply& r) { done(n.now(), r); });
 }
 
-void Node::Box::give_back(const std::vector<std::string>& machines, std::function<void(Millis, bool)> done) {
-    node_.cloud_.give_back(machines, [&n = node_, done = std::move(done)](bool ok) { done(n.now(), ok); });
+void Node::Box::give_back(const std::vector<std::string>& machines,
+                          std::function<void(Millis, bool)> done) {
+    node_.cloud_.give_back(machines,
+                           [&n = node_, done = std::move(done)](bool ok) { done(n.now(), ok); });
 }
 
 }  // namespace nickelramp::app
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "dispatch/dispatcher.h"
+#include "dispatch/holding.h"
 #include "fleet/cloud.h"
 #include "jobs/desk.h"
 #include "leadership/term.h"
@@ -53,12 +54,10 @@
     void heard(const peers::Status& status);
     void granted(const peers::Grant& grant);
     void tell_peers();
-    void check_holding();
-    void end_holding(const std::string& why);
+    void tend_holding();
     bool peers_served() const;
     bool state_served() const;
     void send_grants();
-    void fetch_lent(const std::string& id);
 
     // What books ask for; both kinds of book share it.
     class Box : public dispatch::Outbox {
@@ -114,18 +113,11 @@
         bool served = false;  // by the state service
     };
     std::map<std::string, PeerNews> peer_news_;
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> shown_;  // done, running: for display
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
+        shown_;  // done, running: for display
     Millis tell_at_ = 0;
-    // What this node holds: none of it, or a block until its lease ends.
-    std::unique_ptr<dispatch::Dispatcher> holding_;
-    peers::Grant grant_;
-    std::uint64_t ended_token_ = 0;
-    Millis lease_until_ = 0;
-    Millis grant_view_fresh_ = 0;
-    std::map<std::string, bool> lent_;  // job: loaded
-    net::Timer drop_timer_;
-    std::vector<std::unique_ptr<dispatch::Dispatcher>> dropped_;
-    std::uint64_t incarnation_;
+    dispatch::Holding holding_;
+    net::Timer bury_timer_;
     std::unordered_map<std::string, std::unique_ptr<net::HttpClient>> workers_;
     Millis prune_at_ = 0;
 };
--- a/src/blocks/ledger.cpp
+++ b/src/blocks/ledger.cpp
@@ -112,7 +112,8 @@
 }
 
 bool Ledger::dirty() const {
-    return std::any_of(blocks_.begin(), blocks_.end(), [](const auto& b) { return b.second.dirty; });
+    return std::any_of(blocks_.begin(), blocks_.end(),
+                       [](const auto& b) { return b.second.dirty; });
 }
 
 std::vector<std::uint32_t> Ledger::to_write(std::size_t limit) const {
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -148,7 +148,8 @@
     }
     requeue(j, a);
     if (j.gang()) {
-        if (j.state == JobState::open && j.done == 0 && !j.gang_broken && j.live > 0) break_gang(j, now);
+        if (j.state == JobState::open && j.done == 0 && !j.gang_broken && j.live > 0)
+            break_gang(j, now);
         if (j.live == 0) j.gang_broken = false;
     }
     maybe_finish(j, now);
--- a/src/dispatch/checkpoint.cpp
+++ b/src/dispatch/checkpoint.cpp
@@ -15,8 +15,10 @@
 }  // namespace
 
 bool Dispatcher::needs_commit(const Job& j, Millis now) const {
-    if (j.commit_in_flight || now < j.retry_commit_at || j.state == JobState::finished) return false;
-    if (j.state != JobState::open || j.lent_to != kNone) return false;  // its last transaction says it all
+    if (j.commit_in_flight || now < j.retry_commit_at || j.state == JobState::finished)
+        return false;
+    if (j.state != JobState::open || j.lent_to != kNone)
+        return false;  // its last transaction says it all
     for (const auto& a : j.attempts) {
         if (a->state == AttemptState::recording && a->in_commit == 0) return true;
     }
@@ -70,8 +72,8 @@
     (void)now;
     outbox_.commit(std::move(txn), guarded([this, id = j.spec.id, serial, written](
                                                Millis t, const state::CommitReply& reply) {
-        on_job_commit(id, serial, written, reply, t);
-    }));
+                       on_job_commit(id, serial, written, reply, t);
+                   }));
 }
 
 void Dispatcher::on_job_commit(const std::string& id, std::uint64_t serial,
@@ -157,18 +159,21 @@
         blocks::Block& b = ledger_.block(n);
         if (b.uncertain) {
             blocks_in_flight_ = true;
-            outbox_.read(blocks::block_key(n), guarded([this, n](Millis t, const state::GetReply& r) {
-                blocks_in_flight_ = false;
-                blocks::Block& again = ledger_.block(n);
-                if (r.outcome == state::Outcome::ok) again.version = r.item.version;
-                else if (r.outcome == state::Outcome::missing) again.version = 0;
-                else {
-                    retry_blocks_at_ = t + kRetry;
-                    return;
-                }
-                again.uncertain = false;
-                commit_blocks(t);
-            }));
+            outbox_.read(blocks::block_key(n),
+                         guarded([this, n](Millis t, const state::GetReply& r) {
+                             blocks_in_flight_ = false;
+                             blocks::Block& again = ledger_.block(n);
+                             if (r.outcome == state::Outcome::ok)
+                                 again.version = r.item.version;
+                             else if (r.outcome == state::Outcome::missing)
+                                 again.version = 0;
+                             else {
+                                 retry_blocks_at_ = t + kRetry;
+                                 return;
+                             }
+                             again.uncertain = false;
+                             commit_blocks(t);
+                         }));
             return;
         }
         txn.conditions.push_back({blocks::block_key(n), b.version});
@@ -177,31 +182,32 @@
         for (const blocks::Member& m : b.members) members.push_back(m.name);
     }
     blocks_in_flight_ = true;
-    outbox_.commit(std::move(txn), guarded([this, numbers, members](
-                                               Millis t, const state::CommitReply& reply) {
-        blocks_in_flight_ = false;
-        if (reply.outcome == state::Outcome::ok) {
-            for (std::uint32_t n : numbers) ledger_.block(n).version = reply.revision;
-            for (const std::string& name : members) {
-                Machine* m = roster_.find(name);
-                if (m == nullptr) continue;
-                m->granted = true;
-                join(*m, t);
-            }
-            for (std::uint32_t n : numbers) block_committed(n, t);
-            flush_poked(t);
-            commit_blocks(t);
-            if (dirty_ && t >= next_pass_) schedule(t);
-            return;
-        }
-        for (std::uint32_t n : numbers) {
-            blocks::Block& b = ledger_.block(n);
-            b.dirty = true;
-            if (reply.outcome != state::Outcome::refused) b.uncertain = true;
-        }
-        retry_blocks_at_ = t + kRetry;
-        if (reply.outcome == state::Outcome::conflict) superseded(reply);
-    }));
+    outbox_.commit(std::move(txn),
+                   guarded([this, numbers, members](Millis t, const state::CommitReply& reply) {
+                       blocks_in_flight_ = false;
+                       if (reply.outcome == state::Outcome::ok) {
+                           for (std::uint32_t n : numbers)
+                               ledger_.block(n).version = reply.revision;
+                           for (const std::string& name : members) {
+                               Machine* m = roster_.find(name);
+                               if (m == nullptr) continue;
+                               m->granted = true;
+                               join(*m, t);
+                           }
+                           for (std::uint32_t n : numbers) block_committed(n, t);
+                           flush_poked(t);
+                           commit_blocks(t);
+                           if (dirty_ && t >= next_pass_) schedule(t);
+                           return;
+                       }
+                       for (std::uint32_t n : numbers) {
+                           blocks::Block& b = ledger_.block(n);
+                           b.dirty = true;
+                           if (reply.outcome != state::Outcome::refused) b.uncertain = true;
+                       }
+                       retry_blocks_at_ = t + kRetry;
+                       if (reply.outcome == state::Outcome::conflict) superseded(reply);
+                   }));
 }
 
 // Records of jobs that are over, beyond what their last transaction could take.
@@ -213,11 +219,13 @@
         txn.writes.push_back({leftovers_.back(), std::nullopt});
         leftovers_.pop_back();
     }
-    outbox_.commit(txn, guarded([this, txn](Millis t, const state::CommitReply& reply) {
-        if (reply.outcome == state::Outcome::ok || reply.outcome == state::Outcome::conflict) return;
-        for (const state::Write& w : txn.writes) leftovers_.push_back(w.key);
-        retry_blocks_at_ = t + 4 * kRetry;
-    }));
+    outbox_.commit(
+        txn, guarded([this, txn](Millis t, const state::CommitReply& reply) {
+            if (reply.outcome == state::Outcome::ok || reply.outcome == state::Outcome::conflict)
+                return;
+            for (const state::Write& w : txn.writes) leftovers_.push_back(w.key);
+            retry_blocks_at_ = t + 4 * kRetry;
+        }));
 }
 
 }  // namespace nickelramp::dispatch
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -36,8 +36,10 @@
         });
         if (known) continue;
         bool exited = t.phase == wire::TaskPhase::exited;
-        if (!exited) spdlog::info("stray task {}/{} try {} on {}", t.job, t.task, t.attempt, m.name);
-        out.push_back({exited ? Command::Op::forget : Command::Op::stop, t.job, t.task, t.attempt, 0});
+        if (!exited)
+            spdlog::info("stray task {}/{} try {} on {}", t.job, t.task, t.attempt, m.name);
+        out.push_back(
+            {exited ? Command::Op::forget : Command::Op::stop, t.job, t.task, t.attempt, 0});
     }
 }
 
@@ -85,17 +87,17 @@
     if (commands.empty() && !m.wants_confirm) return;
     m.wants_confirm = false;
     m.direct_in_flight = true;
-    outbox_.direct(m.name, m.address, m.token, std::max<std::uint64_t>(1, m.session), commands,
-                   guarded([this, name = m.name, token = m.token](Millis t, const DirectReply& reply) {
-                       on_direct(name, token, reply, t);
-                   }));
+    outbox_.direct(
+        m.name, m.address, m.token, std::max<std::uint64_t>(1, m.session), commands,
+        guarded([this, name = m.name, token = m.token](Millis t, const DirectReply& reply) {
+            on_direct(name, token, reply, t);
+        }));
 }
 
 // Only gangs that are recorded as a whole are started.
 bool Dispatcher::gang_recorded(const Job& j) const {
-    return std::all_of(j.attempts.begin(), j.attempts.end(), [](const auto& a) {
-        return a->state != AttemptState::recording;
-    });
+    return std::all_of(j.attempts.begin(), j.attempts.end(),
+                       [](const auto& a) { return a->state != AttemptState::recording; });
 }
 
 void Dispatcher::on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -24,8 +24,8 @@
 
 struct TermInfo {
     std::uint64_t number = 0;
-    std::string key;              // conditional transactions name it
-    std::uint64_t version = 0;    // its stamp while this term lasts
+    std::string key;            // conditional transactions name it
+    std::uint64_t version = 0;  // its stamp while this term lasts
 };
 
 // The leader's book has everything; a holder's only a block of machines and the jobs lent with it.
@@ -36,7 +36,7 @@
 Millis answer_bound(const wire::Settings& s);
 
 struct CheckinAnswer {
-    int status = 200;  // 200, 421, 503
+    int status = 200;    // 200, 421, 503
     std::string holder;  // with 421: who answers for the machine
     std::uint64_t token = 0;
     std::vector<wire::Command> commands;
@@ -73,8 +73,8 @@
     void on_hosts(const std::vector<wire::Host>& hosts, Millis now);
     void tick(Millis now);
 
-    // Sharing, the leader's side. A peer that can hold machines has been heard of; `clock_ms` is its
-    // own and comes back in the grant, whose lease runs from then.
+    // Sharing, the leader's side. A peer that can hold machines has been heard of; `clock_ms` is
+    // its own and comes back in the grant, whose lease runs from then.
     void peer_heard(const peers::Status& status, Millis now);
     // The grants to send now; each renews a lease.
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
@@ -83,8 +83,8 @@
 
     // Sharing, the holder's side.
     void hold(const peers::Grant& grant, Millis now);
-    void lent_job(const jobs::OpenRecord& record, std::uint64_t version, const state::ListReply& runs,
-                  std::int64_t wall_ms, Millis now);
+    void lent_job(const jobs::OpenRecord& record, std::uint64_t version,
+                  const state::ListReply& runs, std::int64_t wall_ms, Millis now);
     void cancel_lent(const std::string& id, Millis now);
     const std::vector<std::string>& troubled() const { return troubled_; }
 
@@ -146,7 +146,9 @@
     void break_gang(Job& j, Millis now);
     void note_error(Job& j, Machine& m, Millis now);
     Job& job_of(const Attempt& a) { return *slots_[a.job]; }
-    Machine* machine_of(const Attempt& a) { return a.machine == kNone ? nullptr : roster_.at(a.machine); }
+    Machine* machine_of(const Attempt& a) {
+        return a.machine == kNone ? nullptr : roster_.at(a.machine);
+    }
 
     // reports.cpp
     Machine* adopt(const std::string& name, Millis now);
@@ -164,7 +166,8 @@
     void poke(Machine& m);  // it has something to be sent, at the end of this turn
     void flush_poked(Millis now);
     void flush(Machine& m, Millis now);
-    void on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply, Millis now);
+    void on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
+                   Millis now);
     void raise_token(Machine& m);
     void machine_gone(Machine& m, Millis now);
 
@@ -211,7 +214,7 @@
         std::string holder;
         std::uint64_t incarnation = 0;
         LeaseState state = LeaseState::wanted;
-        Millis over_at = 0;    // by then the holder has stopped, by its own clock
+        Millis over_at = 0;  // by then the holder has stopped, by its own clock
         Millis idle_since = 0;
         std::vector<Room> room;
         std::vector<std::string> jobs;
@@ -219,7 +222,7 @@
     void set_lease_state(std::uint32_t block, Lease& l, LeaseState s);
     void share_machines(Millis now);
     bool lend_job(Job& j, Millis now);
-    void check_leases(bool starving, Millis now);
+    void check_leases(Millis now);
     void block_committed(std::uint32_t block, Millis now);
     void take_job_back(Job& j, Millis now);
     void job_left(Job& j);
@@ -255,12 +258,13 @@
     Outbox& outbox_;
     std::shared_ptr<char> alive_ = std::make_shared<char>();
     Role role_;
-    state::Condition held_;  // holder: its grant's record
+    state::Condition held_;              // holder: its grant's record
     std::uint64_t inherited_token_ = 0;  // what was started before used at most this one
     std::vector<std::string> troubled_;
     std::map<std::string, Peer> peers_;
     std::map<std::uint32_t, Lease> leases_;  // by block
     std::uint32_t share_ = 0;
+    bool starving_ = false;  // jobs found no place when last looked
     bool started_ = false;
     bool confirmed_ = true;
     bool deposed_ = false;
@@ -293,8 +297,8 @@
     struct Learned {
         double ran_s = 0, guessed_s = 0;
     };
-    std::vector<Learned> learned_;  // by class
-    fleet::Forecast whole_arrivals_;  // tasks that want most of a machine, at once
+    std::vector<Learned> learned_;              // by class
+    fleet::Forecast whole_arrivals_;            // tasks that want most of a machine, at once
     std::size_t spare_wanted_ = 0, spare_ = 0;  // machines that such tasks could have at once
     Millis next_consolidation_ = 0;
     struct Hiring {
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -30,7 +30,8 @@
     for (const std::string& z : settings.zones) zone_names_.add(z);
     ledger_.begin(term_.number, settings.name);
     // An earlier leader may have gone on answering for a while after it lost the state service.
-    inherited_lease_until_ = now + longer(answer_bound(settings) + seconds(settings.lease_s)) + 1000;
+    inherited_lease_until_ =
+        now + longer(answer_bound(settings) + seconds(settings.lease_s)) + 1000;
 }
 
 void Dispatcher::load_types(const std::vector<wire::MachineType>& types) {
@@ -199,8 +200,8 @@
         j = add_job(record, version, wall_ms, now);
         update_guarantees(j->team);
         spdlog::debug("job {} of {}: {} tasks of class {}, image {} of {} GB{}", j->spec.id,
-                      j->spec.team, j->spec.tasks, j->spec.job_class, j->spec.image, j->spec.image_gb,
-                      j->within_guarantee ? ", within the guarantee" : "");
+                      j->spec.team, j->spec.tasks, j->spec.job_class, j->spec.image,
+                      j->spec.image_gb, j->within_guarantee ? ", within the guarantee" : "");
         if (record.cancelled) maybe_finish(*j, now);
         return;
     }
@@ -257,39 +258,44 @@
     for (const auto& [n, c] : j.chunks) {
         if (c.version == 0 && !c.uncertain) continue;
         std::string key = jobs::run_key(j.spec.id, n);
-        if (txn.writes.size() < settings_.state_txn_ops) txn.writes.push_back({key, std::nullopt});
-        else rest.push_back(key);
+        if (txn.writes.size() < settings_.state_txn_ops)
+            txn.writes.push_back({key, std::nullopt});
+        else
+            rest.push_back(key);
     }
     j.commit_in_flight = true;
-    outbox_.commit(std::move(txn), guarded([this, id = j.spec.id, rest](
-                                               Millis t, const state::CommitReply& reply) {
-        Job* job = find_job(id);
-        if (job == nullptr) return;
-        job->commit_in_flight = false;
-        if (reply.outcome == state::Outcome::ok) {
-            leftovers_.insert(leftovers_.end(), rest.begin(), rest.end());
-            set_job_state(*job, JobState::finished);
-            update_guarantees(job->team);
-            maybe_drop(id);
-            dirty_ = true;
-            return;
-        }
-        job->retry_commit_at = t + kRetryCommit;
-        if (reply.outcome != state::Outcome::conflict || superseded(reply)) return;
-        // Cancelled meanwhile, applied after all, or another leader: the record tells.
-        outbox_.read(jobs::open_key(id), guarded([this, id](Millis t2, const state::GetReply& got) {
-            Job* again = find_job(id);
-            if (again == nullptr) return;
-            if (got.outcome == state::Outcome::missing) {
-                set_job_state(*again, JobState::finished);
-                update_guarantees(again->team);
-                maybe_drop(id);
-            } else if (got.outcome == state::Outcome::ok) {
-                auto record = jobs::read_open(got.item.value);
-                if (record) on_open_record(*record, got.item.version, 0, t2);
-            }
-        }));
-    }));
+    outbox_.commit(std::move(txn),
+                   guarded([this, id = j.spec.id, rest](Millis t, const state::CommitReply& reply) {
+                       Job* job = find_job(id);
+                       if (job == nullptr) return;
+                       job->commit_in_flight = false;
+                       if (reply.outcome == state::Outcome::ok) {
+                           leftovers_.insert(leftovers_.end(), rest.begin(), rest.end());
+                           set_job_state(*job, JobState::finished);
+                           update_guarantees(job->team);
+                           maybe_drop(id);
+                           dirty_ = true;
+                           return;
+                       }
+                       job->retry_commit_at = t + kRetryCommit;
+                       if (reply.outcome != state::Outcome::conflict || superseded(reply)) return;
+                       // Cancelled meanwhile, applied after all, or another leader: the record
+                       // tells.
+                       outbox_.read(jobs::open_key(id),
+                                    guarded([this, id](Millis t2, const state::GetReply& got) {
+                                        Job* again = find_job(id);
+                                        if (again == nullptr) return;
+                                        if (got.outcome == state::Outcome::missing) {
+                                            set_job_state(*again, JobState::finished);
+                                            update_guarantees(again->team);
+                                            maybe_drop(id);
+                                        } else if (got.outcome == state::Outcome::ok) {
+                                            auto record = jobs::read_open(got.item.value);
+                                            if (record)
+                                                on_open_record(*record, got.item.version, 0, t2);
+                                        }
+                                    }));
+                   }));
 }
 
 // The book forgets a finished job when no attempt of it is left on any machine.
@@ -351,7 +357,8 @@
     auto it = jobs_.find(id);
     if (it == jobs_.end()) return {};
     Progress p{true, it->second->done, 0};
-    if (it->second->lent_to != kNone) return {true, it->second->lent_done, it->second->lent_running};
+    if (it->second->lent_to != kNone)
+        return {true, it->second->lent_done, it->second->lent_running};
     for (const auto& a : it->second->attempts) {
         if (a->state == AttemptState::running || a->state == AttemptState::saving) ++p.running;
     }
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -94,7 +94,8 @@
             // Whoever can save does so in time; replicas and the rest go on until the end.
             std::vector<Attempt*> list = m.attempts;
             for (Attempt* a : list) {
-                if (std::find(m.attempts.begin(), m.attempts.end(), a) == m.attempts.end()) continue;
+                if (std::find(m.attempts.begin(), m.attempts.end(), a) == m.attempts.end())
+                    continue;
                 drain_attempt(*a, now);
             }
         }
@@ -110,11 +111,20 @@
     }
     if (!a.live()) return;
     switch (t.phase) {
-        case TaskPhase::fetching: set_attempt_state(a, AttemptState::fetching, now); break;
-        case TaskPhase::waiting: set_attempt_state(a, AttemptState::waiting, now); break;
-        case TaskPhase::running: set_attempt_state(a, AttemptState::running, now); break;
-        case TaskPhase::saving: set_attempt_state(a, AttemptState::saving, now); break;
-        case TaskPhase::exited: break;
+        case TaskPhase::fetching:
+            set_attempt_state(a, AttemptState::fetching, now);
+            break;
+        case TaskPhase::waiting:
+            set_attempt_state(a, AttemptState::waiting, now);
+            break;
+        case TaskPhase::running:
+            set_attempt_state(a, AttemptState::running, now);
+            break;
+        case TaskPhase::saving:
+            set_attempt_state(a, AttemptState::saving, now);
+            break;
+        case TaskPhase::exited:
+            break;
     }
     if (m.type != kNone) {
         placing::touch_image(m, types_[m.type], j.image, j.spec.image_gb,
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -18,7 +18,8 @@
 
 // Type, zone, kind and trust; not how much is free.
 bool Dispatcher::allowed(const Job& j, const Machine& m) const {
-    if (m.type == kNone || m.type >= j.allowed_type.size() || j.allowed_type[m.type] == 0) return false;
+    if (m.type == kNone || m.type >= j.allowed_type.size() || j.allowed_type[m.type] == 0)
+        return false;
     if (j.zone != kNone && j.zone != m.zone) return false;
     return j.spec.spot || !m.spot;
 }
@@ -74,15 +75,18 @@
     for (const wire::Objective& o : settings_.objectives) {
         if (o.job_class != j.spec.job_class) continue;
         Millis due;
-        if (o.kind == wire::Objective::Kind::finished) due = j.accepted_at + seconds(o.within_s);
+        if (o.kind == wire::Objective::Kind::finished)
+            due = j.accepted_at + seconds(o.within_s);
         else if (o.kind == wire::Objective::Kind::deadline && j.spec.deadline_s) {
             due = j.accepted_at + seconds(*j.spec.deadline_s * o.times);
         } else {
             continue;
         }
         Millis start_by = due - run;
-        if (start_by < now) ++u.missed;
-        else first = std::min(first, start_by);
+        if (start_by < now)
+            ++u.missed;
+        else
+            first = std::min(first, start_by);
     }
     u.start_by = first;
     return u;
@@ -107,7 +111,8 @@
             if (needs_commit(*j, now)) commit_job(*j, now);
         }
         if (role_ == Role::leader) {
-            check_leases(!unplaced.empty(), now);
+            starving_ = !unplaced.empty();
+            check_leases(now);
             plan_supply(unplaced, now);
         }
     }
@@ -145,15 +150,16 @@
         double best_cost = 0;
         for (Machine* m : roster_.all()) {
             if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
-            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until) continue;
+            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until)
+                continue;
             if (now < m->closed_until) continue;
             if (!placing::covers(m->cpus_free, m->gpus_free, m->memory_free, need)) continue;
             if (j.spec.one_zone && only_zone != kNone && m->zone != only_zone) continue;
             if (j.spec.spread && in_zone[m->zone] >= half) continue;
             double c = placing::cost(j, *m, types_[m->type]);
             if (m->reserved_for == j.index) c -= 30;
-            if (!j.failed_on.empty() && std::find(j.failed_on.begin(), j.failed_on.end(), m->index) !=
-                                            j.failed_on.end()) {
+            if (!j.failed_on.empty() &&
+                std::find(j.failed_on.begin(), j.failed_on.end(), m->index) != j.failed_on.end()) {
                 c += 60;
             }
             if (best == nullptr || c < best_cost) {
@@ -171,8 +177,10 @@
             number = 1;
         }
         if (place(j, task, number, *best, now) == nullptr) return false;
-        if (!j.waiting.empty()) j.waiting.pop_back();
-        else ++j.next_fresh;
+        if (!j.waiting.empty())
+            j.waiting.pop_back();
+        else
+            ++j.next_fresh;
         ++in_zone[best->zone];
         only_zone = best->zone;
     }
@@ -200,9 +208,10 @@
         for (Machine* m : roster_.all()) {
             if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
             if (z < zones && m->zone != z) continue;
-            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until) continue;
-            std::uint32_t room = placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need,
-                                                   j.spec.tasks);
+            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until)
+                continue;
+            std::uint32_t room =
+                placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, j.spec.tasks);
             if (room == 0) continue;
             double c = placing::cost(j, *m, types_[m->type]);
             if (m->reserved_for == j.index) c -= 30;
@@ -307,7 +316,8 @@
             // Ending a gang throws more away than a wait for the next machine costs.
             if (v.gang() && (j.starved_since == 0 || now - j.starved_since < boot)) continue;
             double lost = v.gang() ? 40.0 * v.spec.tasks : 0;
-            double run_s = a->running_since == 0 ? 0 : static_cast<double>(now - a->running_since) / 1000.0;
+            double run_s =
+                a->running_since == 0 ? 0 : static_cast<double>(now - a->running_since) / 1000.0;
             lost += v.spec.checkpoint_s > 0 ? v.spec.save_s + 2 : run_s;
             lost += 5.0 * static_cast<double>(v.spec.priority);
             evictable.push_back({lost, a});
@@ -366,10 +376,10 @@
             // Ending one member of a gang may have ended others of the list.
             auto& there = p.machine->attempts;
             if (std::find(there.begin(), there.end(), a) == there.end()) continue;
-            p.machine->reserved_until =
-                std::max(p.machine->reserved_until, now + seconds(job_of(*a).spec.save_s) + kReservation);
-            spdlog::debug("task {}/{} makes room for {} on {}", job_of(*a).spec.id, a->task, j.spec.id,
-                          p.machine->name);
+            p.machine->reserved_until = std::max(
+                p.machine->reserved_until, now + seconds(job_of(*a).spec.save_s) + kReservation);
+            spdlog::debug("task {}/{} makes room for {} on {}", job_of(*a).spec.id, a->task,
+                          j.spec.id, p.machine->name);
             stop_saving(*a, now);
         }
     }
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -1,10 +1,11 @@
 // Blocks lent to other controllers, from both sides.
 //
 // A lent machine is empty when it goes, and its block's record, with the holder's own token, is
-// committed before the first grant is sent. The holder counts its lease from the moment that it sent
-// the status which the grant answers, so it stops before the leader thinks so. A block is taken back
-// by rewriting its record under a new token, which fences the holder's transactions; then the records
-// of its jobs are read, and the machines are asked what is on them, as after a change of leader.
+// committed before the first grant is sent. The holder counts its lease from the moment that it
+// sent the status which the grant answers, so it stops before the leader thinks so. A block is
+// taken back by rewriting its record under a new token, which fences the holder's transactions;
+// then the records of its jobs are read, and the machines are asked what is on them, as after a
+// change of leader.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -19,7 +20,7 @@
 namespace {
 constexpr Millis kLease = 4'000;
 constexpr Millis kPeerFresh = 2'500;  // a peer that was heard of so lately may be given machines
-constexpr Millis kIdleLease = 15'000;
+constexpr Millis kIdleLease = 8'000;
 constexpr std::size_t kMostJobs = 40;  // lent with one block
 }  // namespace
 
@@ -36,7 +37,7 @@
 
 // Lends each healthy peer a block of empty machines of one zone.
 void Dispatcher::share_machines(Millis now) {
-    if (share_ == 0 || !confirmed_ || blocks_in_flight_) return;
+    if (share_ == 0 || !confirmed_ || blocks_in_flight_ || starving_) return;
     for (const auto& [name, peer] : peers_) {
         if (!peer.healthy || now - peer.heard_at > kPeerFresh) continue;
         bool has = std::any_of(leases_.begin(), leases_.end(),
@@ -45,7 +46,8 @@
         std::map<Index, std::vector<Machine*>> by_zone;
         for (Machine* m : roster_.all()) {
             if (m->usable() && m->attempts.empty() && m->granted && m->reserved_for == kNone &&
-                !m->direct_in_flight && now >= m->probation_until && m->confirmed()) {
+                !m->direct_in_flight && (m->spot || spare_ > spare_wanted_ + share_) &&
+                now >= m->probation_until && m->confirmed()) {
                 by_zone[m->zone].push_back(m);
             }
         }
@@ -92,8 +94,11 @@
 
 // Gives a job whole to a holder that has room for all of it.
 bool Dispatcher::lend_job(Job& j, Millis now) {
-    if (role_ == Role::holder || leases_.empty() || !j.attempts.empty() || j.commit_in_flight) return false;
+    if (role_ == Role::holder || leases_.empty() || !j.attempts.empty() || j.commit_in_flight)
+        return false;
     if (j.unstarted() != j.spec.tasks || !within_limit(j, j.spec.tasks)) return false;
+    // Replicas stay: they would keep a block from ever being empty.
+    if (j.service()) return false;
     if (j.spec.spread && j.spec.tasks > 1) return false;  // a block is of one zone
     // Records of earlier attempts may name machines that the holder does not have.
     if (!j.chunks.empty() || j.gang_attempt != 0) return false;
@@ -170,7 +175,8 @@
     maybe_drop(id);
 }
 
-std::vector<std::pair<std::string, peers::Grant>> Dispatcher::grants(Millis view_fresh, Millis now) {
+std::vector<std::pair<std::string, peers::Grant>> Dispatcher::grants(Millis view_fresh,
+                                                                     Millis now) {
     std::vector<std::pair<std::string, peers::Grant>> out;
     if (!confirmed_) return out;
     for (auto& [block, l] : leases_) {
@@ -219,16 +225,17 @@
 }
 
 // Ends leases that are idle, wanted elsewhere or no longer renewed, and takes their blocks back.
-void Dispatcher::check_leases(bool starving, Millis now) {
+void Dispatcher::check_leases(Millis now) {
     for (auto& [block, l] : leases_) {
         if (l.state == LeaseState::granted) {
             auto peer = peers_.find(l.holder);
-            bool lost = peer == peers_.end() || (now > l.over_at && now - peer->second.heard_at > kPeerFresh);
+            bool lost = peer == peers_.end() ||
+                        (now > l.over_at && now - peer->second.heard_at > kPeerFresh);
             if (!l.jobs.empty()) l.idle_since = now;
             bool idle = now - l.idle_since > kIdleLease;
-            bool unhealthy = peer != peers_.end() && (!peer->second.healthy ||
-                                                      peer->second.incarnation != l.incarnation);
-            if (lost || idle || unhealthy || share_ == 0 || (starving && l.jobs.empty())) {
+            bool unhealthy = peer != peers_.end() &&
+                             (!peer->second.healthy || peer->second.incarnation != l.incarnation);
+            if (lost || idle || unhealthy || share_ == 0 || (starving_ && l.jobs.empty())) {
                 set_lease_state(block, l, LeaseState::ending);
             }
         }
@@ -241,7 +248,8 @@
             m->token = ledger_.block(block).token;
             m->heard_at = now;
             m->session = m->seq = 0;  // the holder has heard more than this book
-            m->lease_until = now + longer(answer_bound(settings_) + seconds(settings_.lease_s)) + 1000;
+            m->lease_until =
+                now + longer(answer_bound(settings_) + seconds(settings_.lease_s)) + 1000;
             m->wants_confirm = true;
             set_machine_state(*m, MachineState::joining);
             poke(*m);
@@ -278,7 +286,8 @@
     (void)now;
 }
 
-// --- the holder's side ------------------------------------------------------------------------------
+// --- the holder's side
+// ------------------------------------------------------------------------------
 
 void Dispatcher::hold(const peers::Grant& grant, Millis now) {
     held_ = {blocks::block_key(static_cast<std::uint32_t>(grant.block)), grant.block_version};
@@ -317,10 +326,12 @@
     if (j == nullptr || j->state == JobState::cancelled) return;
     // Its version is needed to finish it: the record is read again.
     outbox_.read(jobs::open_key(id), guarded([this](Millis t, const state::GetReply& r) {
-        auto record = r.outcome == state::Outcome::ok ? jobs::read_open(r.item.value) : std::nullopt;
-        if (record && find_job(record->spec.id) != nullptr) on_open_record(*record, r.item.version, 0, t);
-        flush_poked(t);
-    }));
+                     auto record = r.outcome == state::Outcome::ok ? jobs::read_open(r.item.value)
+                                                                   : std::nullopt;
+                     if (record && find_job(record->spec.id) != nullptr)
+                         on_open_record(*record, r.item.version, 0, t);
+                     flush_poked(t);
+                 }));
     // What runs is stopped at once.
     cancel(*j, now);
     flush_poked(now);
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -20,8 +20,8 @@
 constexpr Millis kSettled = 31'000;       // replicas that have run so long may be moved
 constexpr Millis kClosed = 30'000;        // a machine that is being emptied takes nothing new
 constexpr Millis kConsolidateEvery = 3'000;
-constexpr double kLate = 1.7;             // boots beyond this many boot times no longer count
-constexpr double kHopeless = 4.0;           // and beyond this they are given back
+constexpr double kLate = 1.7;      // boots beyond this many boot times no longer count
+constexpr double kHopeless = 4.0;  // and beyond this they are given back
 }  // namespace
 
 // Packs what found no place onto the machines that are coming, and hires for the rest.
@@ -38,7 +38,8 @@
         if (m->state != MachineState::booting && m->state != MachineState::joining) continue;
         if (m->type == kNone) continue;
         const wire::MachineType& t = types_[m->type];
-        if (m->state == MachineState::booting && now - m->hired_at > seconds(t.boot_s * kLate)) continue;
+        if (m->state == MachineState::booting && now - m->hired_at > seconds(t.boot_s * kLate))
+            continue;
         bins.push_back({m->type, m->zone, m->spot, t.cpus, t.gpus, t.memory_gb, false});
     }
     for (const auto& [name, h] : hiring_) {
@@ -76,7 +77,8 @@
             }
             for (Machine* m : roster_.all()) {
                 if (m->usable() && allowed(*j, *m)) {
-                    room[m->zone] += placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, tasks);
+                    room[m->zone] +=
+                        placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, tasks);
                 }
             }
             auto most = std::max_element(room.begin(), room.end());
@@ -109,11 +111,13 @@
                             if (spot && !j->spec.spot) continue;
                             auto it = offers_.find({t, z, spot});
                             if (it != offers_.end() && now < it->second.blocked_until) continue;
-                            double fits = placing::how_many(type.cpus, type.gpus, type.memory_gb, need, 64);
+                            double fits =
+                                placing::how_many(type.cpus, type.gpus, type.memory_gb, need, 64);
                             std::size_t there = 0;
                             for (Machine* m : roster_.all()) there += m->zone == z ? 1 : 0;
                             for (const auto& [k, n] : wanted) there += std::get<1>(k) == z ? n : 0;
-                            double price = (spot ? type.spot_price : type.price) / std::max(1.0, fits);
+                            double price =
+                                (spot ? type.spot_price : type.price) / std::max(1.0, fits);
                             price *= 1.0 + 0.001 * static_cast<double>(there);  // keep zones even
                             if (!kind || price < least) {
                                 kind = {t, z, spot};
@@ -158,7 +162,8 @@
         double run_s = std::max(1.0, expected_run_s(*j));
         for (const auto& a : j->attempts) {
             if (!a->live() || a->running_since == 0) continue;
-            double left_s = std::max(0.0, run_s - static_cast<double>(now - a->running_since) / 1000.0);
+            double left_s =
+                std::max(0.0, run_s - static_cast<double>(now - a->running_since) / 1000.0);
             if (left_s < boot_s) places += 1;
         }
     }
@@ -189,10 +194,11 @@
     spdlog::info("hiring {} {} {} in {}", count, spot ? "spot" : "ordinary", types_[type].name,
                  zone_names_.name(zone));
     (void)now;
-    outbox_.hire(request, types_[type].name, zone_names_.name(zone), spot, count,
-                 guarded([this, request, type, zone, spot, count](Millis t, const HireReply& reply) {
-                     on_hired(request, type, zone, spot, count, reply, t);
-                 }));
+    outbox_.hire(
+        request, types_[type].name, zone_names_.name(zone), spot, count,
+        guarded([this, request, type, zone, spot, count](Millis t, const HireReply& reply) {
+            on_hired(request, type, zone, spot, count, reply, t);
+        }));
 }
 
 void Dispatcher::on_hired(std::string request, Index type, Index zone, bool spot,
@@ -210,11 +216,17 @@
                 Machine* m = adopt(name, now);
                 identify(*m, "", types_[type].name, zone_names_.name(zone), spot);
             }
-            if (reply.machines.size() < count) refuse(kFirstBlock);
-            else offer.refusals = 0;
+            if (reply.machines.size() < count)
+                refuse(kFirstBlock);
+            else
+                offer.refusals = 0;
+            break;
+        case HireReply::Result::no_capacity:
+            refuse(kFirstBlock);
+            break;
+        case HireReply::Result::trouble:
+            offer.blocked_until = now + 1500;
             break;
-        case HireReply::Result::no_capacity: refuse(kFirstBlock); break;
-        case HireReply::Result::trouble: offer.blocked_until = now + 1500; break;
         case HireReply::Result::malformed:
             spdlog::error("the cloud calls the hire of {} malformed", types_[type].name);
             refuse(kMostBlock);
@@ -234,7 +246,8 @@
             spdlog::info("machine {} of the list was not in the book", h.id);
         }
         identify(*m, h.address, h.type, h.zone, h.spot);
-        if (h.status == wire::HostStatus::failed) return_machine(*m, "failed");
+        if (h.status == wire::HostStatus::failed)
+            return_machine(*m, "failed");
         else if (h.status == wire::HostStatus::running && m->state == MachineState::booting &&
                  m->listed_running_at == 0) {
             m->listed_running_at = now;
@@ -257,17 +270,22 @@
 void Dispatcher::count_spare(Millis now) {
     double boot_s = 60;
     if (!types_.empty()) boot_s = types_.front().boot_s;
-    spare_wanted_ = static_cast<std::size_t>(std::ceil(whole_arrivals_.within(boot_s * kSpareShare, now)));
+    spare_wanted_ =
+        static_cast<std::size_t>(std::ceil(whole_arrivals_.within(boot_s * kSpareShare, now)));
     spare_ = 0;
     for (Machine* m : roster_.all()) {
         if (!m->usable() || m->spot) continue;
-        spare_ += std::all_of(m->attempts.begin(), m->attempts.end(), [&](const Attempt* a) {
-            return !a->live() || job_of(*a).spec.shape == wire::Shape::array;
-        }) ? 1 : 0;
+        spare_ += std::all_of(m->attempts.begin(), m->attempts.end(),
+                              [&](const Attempt* a) {
+                                  return !a->live() || job_of(*a).spec.shape == wire::Shape::array;
+                              })
+                      ? 1
+                      : 0;
     }
 }
 
-// A spot machine is cheap to keep. An ordinary one stays while it may be needed before another boots.
+// A spot machine is cheap to keep. An ordinary one stays while it may be needed before another
+// boots.
 Millis Dispatcher::idle_keep(const Machine& m) const {
     double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
     if (m.spot) return seconds(boot);
@@ -291,8 +309,8 @@
             if (j.spec.spread && j.spec.tasks > 1 && m->zone != from.zone) continue;
             if (m->gpus_free > from.gpus_free + placing::kSlack) continue;  // only to fuller ones
             Need& t = taken[m];
-            if (!placing::covers(m->cpus_free - t.cpus, m->gpus_free - t.gpus, m->memory_free - t.memory_gb,
-                                 placing::need_of(j))) {
+            if (!placing::covers(m->cpus_free - t.cpus, m->gpus_free - t.gpus,
+                                 m->memory_free - t.memory_gb, placing::need_of(j))) {
                 continue;
             }
             if (placing::fetch_wait_s(j, *m, types_[m->type]) > 0) continue;
@@ -333,7 +351,8 @@
 bool Dispatcher::cut_off(Millis now) const {
     std::size_t up = 0, silent = 0;
     for (const Machine* m : roster_.all()) {
-        if (m->state == MachineState::booting || m->state == MachineState::lent || m->up_at == 0) continue;
+        if (m->state == MachineState::booting || m->state == MachineState::lent || m->up_at == 0)
+            continue;
         ++up;
         if (now - m->heard_at > seconds(2.5 * settings_.report_s)) ++silent;
     }
@@ -355,7 +374,8 @@
             double boot_s = m->type == kNone ? 60 : types_[m->type].boot_s;
             if (now - m->hired_at > seconds(boot_s * kHopeless + settings_.list_lag_s)) {
                 return_machine(*m, "never came up");
-            } else if (m->listed_running_at != 0 && now - m->listed_running_at > 5 * give_up && !blind) {
+            } else if (m->listed_running_at != 0 && now - m->listed_running_at > 5 * give_up &&
+                       !blind) {
                 return_machine(*m, "runs but never reported");
             }
             if (now - m->hired_at > seconds(boot_s * kLate) && !m->late) {
@@ -418,23 +438,24 @@
     if (return_in_flight_ || now < retry_return_at_ || !confirmed_ || role_ == Role::holder) return;
     std::vector<std::string> names;
     for (Machine* m : roster_.all()) {
-        if (m->state == MachineState::returning && names.size() < kMostReturn) names.push_back(m->name);
+        if (m->state == MachineState::returning && names.size() < kMostReturn)
+            names.push_back(m->name);
     }
     if (names.empty()) return;
     return_in_flight_ = true;
     outbox_.give_back(names, guarded([this, names](Millis t, bool ok) {
-        return_in_flight_ = false;
-        if (!ok) {
-            retry_return_at_ = t + 1000;
-            return;
-        }
-        // The answer proves them gone, and everything on them.
-        for (const std::string& name : names) {
-            if (Machine* m = roster_.find(name)) machine_gone(*m, t);
-        }
-        flush_poked(t);
-        if (dirty_ && t >= next_pass_) schedule(t);
-    }));
+                          return_in_flight_ = false;
+                          if (!ok) {
+                              retry_return_at_ = t + 1000;
+                              return;
+                          }
+                          // The answer proves them gone, and everything on them.
+                          for (const std::string& name : names) {
+                              if (Machine* m = roster_.find(name)) machine_gone(*m, t);
+                          }
+                          flush_poked(t);
+                          if (dirty_ && t >= next_pass_) schedule(t);
+                      }));
 }
 
 void Dispatcher::tick(Millis now) {
@@ -444,7 +465,7 @@
         count_spare(now);
         consolidate(now);
         share_machines(now);
-        check_leases(false, now);
+        check_leases(now);
         commit_blocks(now);
     }
     drop_leftovers(now);
@@ -456,8 +477,10 @@
     }
     std::vector<std::string> ending;
     for (auto& [id, j] : jobs_) {
-        if (j->state != jobs::JobState::open) ending.push_back(id);
-        else if (needs_commit(*j, now) && confirmed_) commit_job(*j, now);
+        if (j->state != jobs::JobState::open)
+            ending.push_back(id);
+        else if (needs_commit(*j, now) && confirmed_)
+            commit_job(*j, now);
     }
     for (const std::string& id : ending) {
         if (Job* j = find_job(id)) maybe_finish(*j, now);
--- a/src/fleet/cloud.cpp
+++ b/src/fleet/cloud.cpp
@@ -23,14 +23,17 @@
     if (queue_.size() >= kMostQueued && !first) {
         queue_.pop_back();  // the newest list; its caller asks again
     }
-    if (first) queue_.push_front(std::move(call));
-    else queue_.push_back(std::move(call));
+    if (first)
+        queue_.push_front(std::move(call));
+    else
+        queue_.push_back(std::move(call));
     pump();
 }
 
 void Cloud::pump() {
     Millis now = static_cast<Millis>(uv_now(loop_));
-    left_ = std::min(std::max(1.0, rps_), left_ + static_cast<double>(now - filled_) / 1000.0 * rps_);
+    left_ =
+        std::min(std::max(1.0, rps_), left_ + static_cast<double>(now - filled_) / 1000.0 * rps_);
     filled_ = now;
     while (!queue_.empty() && left_ >= 1) {
         left_ -= 1;
@@ -42,10 +45,11 @@
 }
 
 void Cloud::types(TypesDone done) {
-    submit(false, {"GET", "/machine_types", "", kCall, [done = std::move(done)](const net::Reply& r) {
-                       auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
-                       done(body ? wire::parse_types(*body) : std::nullopt);
-                   }});
+    submit(false,
+           {"GET", "/machine_types", "", kCall, [done = std::move(done)](const net::Reply& r) {
+                auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
+                done(body ? wire::parse_types(*body) : std::nullopt);
+            }});
 }
 
 void Cloud::hosts(HostsDone done) {
@@ -56,41 +60,45 @@
                       HostsDone done) {
     std::string target = "/hosts?limit=500";
     if (!after.empty()) target += "&from=" + after;
-    submit(false, {"GET", target, "", kCall,
-                   [this, sofar, done = std::move(done)](const net::Reply& r) {
-                       auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
-                       auto page = body ? wire::parse_hosts(*body) : std::nullopt;
-                       if (!page) {
-                           done(std::nullopt);
-                           return;
-                       }
-                       for (wire::Host& h : page->hosts) sofar->push_back(std::move(h));
-                       if (page->more && !sofar->empty()) host_page(sofar, sofar->back().id, done);
-                       else done(*sofar);
-                   }});
+    submit(false,
+           {"GET", target, "", kCall, [this, sofar, done = std::move(done)](const net::Reply& r) {
+                auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
+                auto page = body ? wire::parse_hosts(*body) : std::nullopt;
+                if (!page) {
+                    done(std::nullopt);
+                    return;
+                }
+                for (wire::Host& h : page->hosts) sofar->push_back(std::move(h));
+                if (page->more && !sofar->empty())
+                    host_page(sofar, sofar->back().id, done);
+                else
+                    done(*sofar);
+            }});
 }
 
 void Cloud::hire(const std::string& request, const std::string& type, const std::string& zone,
-                 bool spot, std::uint32_t count, std::function<void(const dispatch::HireReply&)> done) {
-    submit(true, {"POST", "/hosts", wire::hire_request(request, type, zone, spot, count), kCall,
-                  [done = std::move(done)](const net::Reply& r) {
-                      dispatch::HireReply out;
-                      using Result = dispatch::HireReply::Result;
-                      if (r.outcome != net::Reply::Outcome::answered) {
-                          done(out);
-                          return;
-                      }
-                      auto body = wire::decode_map(r.body);
-                      if (r.status == 200) {
-                          auto names = body ? wire::parse_hired(*body) : std::nullopt;
-                          if (names) out = {Result::hired, std::move(*names)};
-                      } else if (r.status == 400) {
-                          out.result = Result::malformed;
-                      } else if (r.status == 503 && body && wire::text(*body, "error") == "no capacity") {
-                          out.result = Result::no_capacity;
-                      }
-                      done(out);
-                  }});
+                 bool spot, std::uint32_t count,
+                 std::function<void(const dispatch::HireReply&)> done) {
+    submit(true,
+           {"POST", "/hosts", wire::hire_request(request, type, zone, spot, count), kCall,
+            [done = std::move(done)](const net::Reply& r) {
+                dispatch::HireReply out;
+                using Result = dispatch::HireReply::Result;
+                if (r.outcome != net::Reply::Outcome::answered) {
+                    done(out);
+                    return;
+                }
+                auto body = wire::decode_map(r.body);
+                if (r.status == 200) {
+                    auto names = body ? wire::parse_hired(*body) : std::nullopt;
+                    if (names) out = {Result::hired, std::move(*names)};
+                } else if (r.status == 400) {
+                    out.result = Result::malformed;
+                } else if (r.status == 503 && body && wire::text(*body, "error") == "no capacity") {
+                    out.result = Result::no_capacity;
+                }
+                done(out);
+            }});
 }
 
 void Cloud::give_back(const std::vector<std::string>& machines, std::function<void(bool)> done) {
--- a/src/fleet/cloud.h
+++ b/src/fleet/cloud.h
@@ -24,8 +24,8 @@
 
     void types(TypesDone done);
     void hosts(HostsDone done);  // all pages
-    void hire(const std::string& request, const std::string& type, const std::string& zone, bool spot,
-              std::uint32_t count, std::function<void(const dispatch::HireReply&)> done);
+    void hire(const std::string& request, const std::string& type, const std::string& zone,
+              bool spot, std::uint32_t count, std::function<void(const dispatch::HireReply&)> done);
     void give_back(const std::vector<std::string>& machines, std::function<void(bool)> done);
 
   private:
--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -22,7 +22,9 @@
 Response failure(int status, const std::string& what) {
     return {status, wire::encode({{"error", what}}), 0, "application/cbor"};
 }
-Response ok(int status, const Json& body) { return {status, wire::encode(body), 0, "application/cbor"}; }
+Response ok(int status, const Json& body) {
+    return {status, wire::encode(body), 0, "application/cbor"};
+}
 }  // namespace
 
 std::string impossible(const wire::JobSpec& spec, const wire::Settings& settings,
@@ -31,7 +33,8 @@
                              [&](const wire::Team& t) { return t.name == spec.team; });
     if (team == settings.teams.end()) return "unknown team";
     bool fits = std::any_of(types.begin(), types.end(), [&](const wire::MachineType& t) {
-        if (!spec.any_type && std::find(spec.types.begin(), spec.types.end(), t.name) == spec.types.end()) {
+        if (!spec.any_type &&
+            std::find(spec.types.begin(), spec.types.end(), t.name) == spec.types.end()) {
             return false;
         }
         if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) {
@@ -54,20 +57,28 @@
 bool Desk::handle(const net::Request& request, const net::Responder& responder) {
     const std::string& path = request.path;
     if (path == "/work") {
-        if (request.method != "POST") responder.send(failure(405, "use POST"));
-        else if (open_ >= kMostOpen) responder.send(busy());
-        else submit(request, responder);
+        if (request.method != "POST")
+            responder.send(failure(405, "use POST"));
+        else if (open_ >= kMostOpen)
+            responder.send(busy());
+        else
+            submit(request, responder);
         return true;
     }
     if (path.rfind("/work/", 0) != 0) return false;
     std::string id = path.substr(6);
     bool abort = id.size() > 6 && id.compare(id.size() - 6, 6, "/abort") == 0;
     if (abort) id.resize(id.size() - 6);
-    if (!wire::valid_job_id(id)) responder.send(failure(id.find('/') == std::string::npos ? 400 : 404, "id"));
-    else if (open_ >= kMostOpen) responder.send(busy());
-    else if (abort && request.method == "POST") cancel(id, kCancelTries, responder);
-    else if (!abort && request.method == "GET") query(id, responder);
-    else responder.send(failure(405, abort ? "use POST" : "use GET"));
+    if (!wire::valid_job_id(id))
+        responder.send(failure(id.find('/') == std::string::npos ? 400 : 404, "id"));
+    else if (open_ >= kMostOpen)
+        responder.send(busy());
+    else if (abort && request.method == "POST")
+        cancel(id, kCancelTries, responder);
+    else if (!abort && request.method == "GET")
+        query(id, responder);
+    else
+        responder.send(failure(405, abort ? "use POST" : "use GET"));
     return true;
 }
 
@@ -82,8 +93,8 @@
     } else {
         std::uint64_t done = 0, running = 0;
         hooks_.progress(id, done, running);
-        r.send(ok(200, wire::job_answer(id, running > 0 ? JobStatus::running : JobStatus::pending, done,
-                                        running)));
+        r.send(ok(200, wire::job_answer(id, running > 0 ? JobStatus::running : JobStatus::pending,
+                                        done, running)));
     }
 }
 
@@ -111,9 +122,12 @@
         state_.get(job_key(id), state::Urgency::user, kSubmitWait,
                    [this, id, never, responder](const state::GetReply& r) {
                        --open_;
-                       if (r.outcome == state::Outcome::ok) answer_known(id, r.item.value, responder);
-                       else if (r.outcome == state::Outcome::missing) responder.send(failure(422, never));
-                       else responder.send(busy());
+                       if (r.outcome == state::Outcome::ok)
+                           answer_known(id, r.item.value, responder);
+                       else if (r.outcome == state::Outcome::missing)
+                           responder.send(failure(422, never));
+                       else
+                           responder.send(busy());
                    });
         return;
     }
@@ -146,69 +160,76 @@
     state_.get(job_key(id), state::Urgency::user, kQueryWait,
                [this, id, responder](const state::GetReply& r) {
                    --open_;
-                   if (r.outcome == state::Outcome::ok) answer_known(id, r.item.value, responder);
-                   else if (r.outcome == state::Outcome::missing) responder.send(failure(404, "no such job"));
-                   else responder.send(busy());
+                   if (r.outcome == state::Outcome::ok)
+                       answer_known(id, r.item.value, responder);
+                   else if (r.outcome == state::Outcome::missing)
+                       responder.send(failure(404, "no such job"));
+                   else
+                       responder.send(busy());
                });
 }
 
-// The job's key and its open record change together, so whoever finishes the job and whoever cancels
-// it cannot both succeed.
+// The job's key and its open record change together, so whoever finishes the job and whoever
+// cancels it cannot both succeed.
 void Desk::cancel(const std::string& id, int tries, net::Responder responder) {
     if (tries == 0) {
         responder.send(busy());
         return;
     }
     ++open_;
-    state_.get(job_key(id), state::Urgency::user, kQueryWait, [this, id, tries, responder](
-                                                                  const state::GetReply& job) {
-        --open_;
-        if (job.outcome == state::Outcome::missing) {
-            responder.send(failure(404, "no such job"));
-            return;
-        }
-        if (job.outcome != state::Outcome::ok) {
-            responder.send(busy());
-            return;
-        }
-        if (wire::text(job.item.value, "final")) {
-            answer_known(id, job.item.value, responder);
-            return;
-        }
-        ++open_;
-        state_.get(open_key(id), state::Urgency::user, kQueryWait,
-                   [this, id, tries, responder, job](const state::GetReply& open) {
-                       --open_;
-                       if (open.outcome == state::Outcome::missing) {
-                           cancel(id, tries - 1, responder);  // it has just become final
-                           return;
-                       }
-                       if (open.outcome != state::Outcome::ok) {
-                           responder.send(busy());
-                           return;
-                       }
-                       Json record = open.item.value;
-                       record["cancelled"] = true;
-                       state::Txn txn;
-                       txn.conditions = {{job_key(id), job.item.version},
-                                         {open_key(id), open.item.version}};
-                       txn.writes = {{job_key(id), Json{{"final", wire::final_name(JobStatus::cancelled)},
-                                                        {"tasks", job.item.value.value("tasks", 0)}}},
-                                     {open_key(id), std::move(record)}};
-                       ++open_;
-                       state_.commit(txn, state::Urgency::user, kQueryWait,
-                                     [this, id, tries, responder](const state::CommitReply& r) {
-                                         --open_;
-                                         if (r.outcome == state::Outcome::ok) {
-                                             responder.send(ok(200, wire::job_answer(id, JobStatus::cancelled)));
-                                         } else if (r.outcome == state::Outcome::conflict) {
-                                             cancel(id, tries - 1, responder);
-                                         } else {
-                                             responder.send(busy());
-                                         }
-                                     });
-                   });
-    });
+    state_.get(
+        job_key(id), state::Urgency::user, kQueryWait,
+        [this, id, tries, responder](const state::GetReply& job) {
+            --open_;
+            if (job.outcome == state::Outcome::missing) {
+                responder.send(failure(404, "no such job"));
+                return;
+            }
+            if (job.outcome != state::Outcome::ok) {
+                responder.send(busy());
+                return;
+            }
+            if (wire::text(job.item.value, "final")) {
+                answer_known(id, job.item.value, responder);
+                return;
+            }
+            ++open_;
+            state_.get(
+                open_key(id), state::Urgency::user, kQueryWait,
+                [this, id, tries, responder, job](const state::GetReply& open) {
+                    --open_;
+                    if (open.outcome == state::Outcome::missing) {
+                        cancel(id, tries - 1, responder);  // it has just become final
+                        return;
+                    }
+                    if (open.outcome != state::Outcome::ok) {
+                        responder.send(busy());
+                        return;
+                    }
+                    Json record = open.item.value;
+                    record["cancelled"] = true;
+                    state::Txn txn;
+                    txn.conditions = {{job_key(id), job.item.version},
+                                      {open_key(id), open.item.version}};
+                    txn.writes = {
+                        {job_key(id), Json{{"final", wire::final_name(JobStatus::cancelled)},
+                                           {"tasks", job.item.value.value("tasks", 0)}}},
+                        {open_key(id), std::move(record)}};
+                    ++open_;
+                    state_.commit(
+                        txn, state::Urgency::user, kQueryWait,
+                        [this, id, tries, responder](const state::CommitReply& r) {
+                            --open_;
+                            if (r.outcome == state::Outcome::ok) {
+                                responder.send(ok(200, wire::job_answer(id, JobStatus::cancelled)));
+                            } else if (r.outcome == state::Outcome::conflict) {
+                                cancel(id, tries - 1, responder);
+                            } else {
+                                responder.send(busy());
+                            }
+                        });
+                });
+        });
 }
 
 }  // namespace nickelramp::jobs
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -22,7 +22,8 @@
     struct Hooks {
         std::function<std::int64_t()> wall_ms;
         // Counts for display, when this node knows them.
-        std::function<bool(const std::string& id, std::uint64_t& done, std::uint64_t& running)> progress;
+        std::function<bool(const std::string& id, std::uint64_t& done, std::uint64_t& running)>
+            progress;
     };
     Desk(const wire::Settings& settings, state::Client& state, Hooks hooks);
 
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -29,24 +29,36 @@
 
 const char* name(JobState s) {
     switch (s) {
-        case JobState::open: return "open";
-        case JobState::cancelled: return "cancelled";
-        case JobState::finishing: return "finishing";
-        case JobState::finished: return "finished";
+        case JobState::open:
+            return "open";
+        case JobState::cancelled:
+            return "cancelled";
+        case JobState::finishing:
+            return "finishing";
+        case JobState::finished:
+            return "finished";
     }
     return "?";
 }
 
 const char* name(AttemptState s) {
     switch (s) {
-        case AttemptState::recording: return "recording";
-        case AttemptState::recorded: return "recorded";
-        case AttemptState::starting: return "starting";
-        case AttemptState::fetching: return "fetching";
-        case AttemptState::waiting: return "waiting";
-        case AttemptState::running: return "running";
-        case AttemptState::saving: return "saving";
-        case AttemptState::exited: return "exited";
+        case AttemptState::recording:
+            return "recording";
+        case AttemptState::recorded:
+            return "recorded";
+        case AttemptState::starting:
+            return "starting";
+        case AttemptState::fetching:
+            return "fetching";
+        case AttemptState::waiting:
+            return "waiting";
+        case AttemptState::running:
+            return "running";
+        case AttemptState::saving:
+            return "saving";
+        case AttemptState::exited:
+            return "exited";
     }
     return "?";
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -34,7 +34,16 @@
 // recorded:  committed; the start may go out.
 // starting:  the start was sent, no report has shown the attempt yet.
 // exited:    reported as exited; holds nothing, but the worker still knows it.
-enum class AttemptState { recording, recorded, starting, fetching, waiting, running, saving, exited };
+enum class AttemptState {
+    recording,
+    recorded,
+    starting,
+    fetching,
+    waiting,
+    running,
+    saving,
+    exited
+};
 const char* name(AttemptState s);
 
 struct Attempt {
@@ -43,17 +52,17 @@
     std::uint32_t number = 0;  // attempt number, from 1
     Index machine = kNone;
     AttemptState state = AttemptState::recording;
-    std::uint64_t token = 0;      // of the last start sent, or of the term that recorded it
-    std::uint64_t session = 0;    // of the machine when the start was sent
+    std::uint64_t token = 0;         // of the last start sent, or of the term that recorded it
+    std::uint64_t session = 0;       // of the machine when the start was sent
     std::uint64_t answered_seq = 0;  // report number of the direct answer; 0: none came
     bool told_stop = false;
-    bool must_go = false;         // a stop is wanted
+    bool must_go = false;  // a stop is wanted
     double grace_s = 0;
     wire::ExitCause cause = wire::ExitCause::none;
-    bool committed = false;       // a checkpoint with it has been committed
+    bool committed = false;  // a checkpoint with it has been committed
     Millis placed_at = 0;
     Millis running_since = 0;     // 0: not yet seen running
-    std::uint64_t in_commit = 0;   // the commit that carries it
+    std::uint64_t in_commit = 0;  // the commit that carries it
     links::Event start_event = kNone, gone_event = kNone;
 
     void set_state(AttemptState s) { state = s; }
@@ -61,12 +70,12 @@
 };
 
 struct Chunk {
-    std::uint64_t version = 0;   // stamp of its record, 0: none
-    std::uint64_t done = 0;      // bit a task, as known
+    std::uint64_t version = 0;  // stamp of its record, 0: none
+    std::uint64_t done = 0;     // bit a task, as known
     std::uint64_t done_in_commit = 0;
     std::uint64_t done_recorded = 0;
     bool dirty = false;
-    bool uncertain = false;      // a write's outcome is unknown: read before writing again
+    bool uncertain = false;  // a write's outcome is unknown: read before writing again
 };
 
 // Task numbers that wait for their next attempt, with the number of the last one.
@@ -87,15 +96,15 @@
     std::vector<char> allowed_type;  // by type index
     JobState state = JobState::open;
     std::int64_t accepted_wall_ms = 0;
-    Millis accepted_at = 0;  // the same on this process's steady clock
+    Millis accepted_at = 0;     // the same on this process's steady clock
     std::uint64_t version = 0;  // stamp of open/<id>
 
-    std::uint32_t next_fresh = 0;      // tasks from here on were never started
-    std::vector<Waiting> waiting;      // tasks to start again
+    std::uint32_t next_fresh = 0;  // tasks from here on were never started
+    std::vector<Waiting> waiting;  // tasks to start again
     std::uint32_t done = 0;
     std::map<std::uint32_t, Chunk> chunks;
     std::vector<std::unique_ptr<Attempt>> attempts;  // live or not yet forgotten
-    std::uint32_t live = 0;            // attempts that may hold a place
+    std::uint32_t live = 0;                          // attempts that may hold a place
     bool commit_in_flight = false;
     std::uint64_t commits = 0;
     Millis retry_commit_at = 0;
@@ -113,9 +122,9 @@
 
     bool within_guarantee = false;
     Urgency urgency;
-    Index lent_to = kNone;  // block whose holder has it
+    Index lent_to = kNone;                          // block whose holder has it
     std::uint64_t lent_done = 0, lent_running = 0;  // as the holder last said
-    Millis starved_since = 0;  // first time no place was found
+    Millis starved_since = 0;                       // first time no place was found
 
     links::Links links;
     links::Event accepted_event = kNone, cancelled_event = kNone;
@@ -145,7 +154,7 @@
 struct RunEntry {
     std::uint32_t task = 0;
     std::uint32_t attempt = 0;
-    bool started = false;   // its start may have been sent; otherwise the attempt is over
+    bool started = false;  // its start may have been sent; otherwise the attempt is over
     std::string machine;
 };
 struct RunRecord {
--- a/src/leadership/term.cpp
+++ b/src/leadership/term.cpp
@@ -14,12 +14,18 @@
 
 const char* name(State s) {
     switch (s) {
-        case State::following: return "following";
-        case State::reading: return "reading";
-        case State::holding: return "holding";
-        case State::claiming: return "claiming";
-        case State::leading: return "leading";
-        case State::doubting: return "doubting";
+        case State::following:
+            return "following";
+        case State::reading:
+            return "reading";
+        case State::holding:
+            return "holding";
+        case State::claiming:
+            return "claiming";
+        case State::leading:
+            return "leading";
+        case State::doubting:
+            return "doubting";
     }
     return "?";
 }
@@ -74,8 +80,10 @@
         revision_ = std::max(revision_, r.revision);
         for (const state::Item& i : r.items) {
             if (i.key != kSeatKey) continue;
-            if (i.deleted) seat_seen("", 0);
-            else seat_seen(wire::text(i.value, "node").value_or(""), i.version);
+            if (i.deleted)
+                seat_seen("", 0);
+            else
+                seat_seen(wire::text(i.value, "node").value_or(""), i.version);
         }
         watch();
     });
--- a/src/leadership/term.h
+++ b/src/leadership/term.h
@@ -55,7 +55,8 @@
         std::function<void(const std::string& why)> deposed;
         std::function<void(const std::string& leader)> leader_changed;
     };
-    Election(uv_loop_t* loop, state::Client& state, std::string node, std::uint64_t seed, Hooks hooks);
+    Election(uv_loop_t* loop, state::Client& state, std::string node, std::uint64_t seed,
+             Hooks hooks);
 
     void start();
     void step_down(const std::string& why, Millis rest);  // give the seat up, and wait that long
--- a/src/links/links.cpp
+++ b/src/links/links.cpp
@@ -106,8 +106,10 @@
         if (open1 && m.f2 != Fate::occurred) offer({a1}, true);
         // Once e2 has happened, e1 must stay away: only a rejectable one, or one known to be off.
         if (open2 && (m.f1 != Fate::open || rejectable1)) {
-            if (open1 && events_[m.e1].arrival != 0) offer({a2, r1}, true);
-            else offer({a2}, true);
+            if (open1 && events_[m.e1].arrival != 0)
+                offer({a2, r1}, true);
+            else
+                offer({a2}, true);
         }
         if (open1 && open2) offer({a1, r2}, false);
         if (open1) offer({r1}, true);
@@ -125,8 +127,10 @@
     auto dislike = [&](const Path& p) {
         int forced = 0, rejected = 0;
         for (const Step& s : p.steps) {
-            if (s.act == Act::reject) ++rejected;
-            else if (s.event != submitted && events_[s.event].arrival == 0) ++forced;
+            if (s.act == Act::reject)
+                ++rejected;
+            else if (s.event != submitted && events_[s.event].arrival == 0)
+                ++forced;
         }
         return std::tuple(forced, rejected, 2 - static_cast<int>(p.steps.size()));
     };
@@ -213,10 +217,11 @@
         if (s == nullptr && (m.e1 == submitted || m.e2 == submitted)) continue;
         if (!agrees(rest, p) || !order_consistent(rest, p)) continue;
         if (earlier != nullptr) {
-            bool extends = std::all_of(earlier->steps.begin(), earlier->steps.end(), [&](const Step& q) {
-                const Step* mine = step_of(p, q.event);
-                return mine != nullptr && mine->act == q.act;
-            });
+            bool extends =
+                std::all_of(earlier->steps.begin(), earlier->steps.end(), [&](const Step& q) {
+                    const Step* mine = step_of(p, q.event);
+                    return mine != nullptr && mine->act == q.act;
+                });
             if (!extends || p.steps.size() <= earlier->steps.size()) continue;
         }
         Pathset next = rest;
@@ -239,9 +244,8 @@
         }
     }
     // Where the paths leave the order open, events happen as they arrived, forced ones last.
-    std::sort(accepts.begin(), accepts.end(), [&](Event a, Event b) {
-        return events_[a].arrival - 1 < events_[b].arrival - 1;
-    });
+    std::sort(accepts.begin(), accepts.end(),
+              [&](Event a, Event b) { return events_[a].arrival - 1 < events_[b].arrival - 1; });
     auto follows = [&](Event later, Event earlier) {
         return std::any_of(set.begin(), set.end(), [&](const Path& p) {
             return p.ordered && p.steps.size() == 2 && p.steps[0].event == earlier &&
--- a/src/links/links.h
+++ b/src/links/links.h
@@ -28,7 +28,8 @@
 
 enum class Answer : std::uint8_t { accepted, pending, rejected };
 
-// What one submission led to, in the order of execution. Events that were pending may be among them.
+// What one submission led to, in the order of execution. Events that were pending may be among
+// them.
 struct Outcome {
     Answer answer = Answer::pending;
     std::vector<Event> accepted;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -33,12 +33,12 @@
         };
         auto* r = new Connect{{}, weak_from_this()};
         r->req.data = r;
-        int rc = uv_tcp_connect(&r->req, tcp_,
-                                reinterpret_cast<const sockaddr*>(&client_->address_),
-                                [](uv_connect_t* req, int status) {
-                                    std::unique_ptr<Connect> r(static_cast<Connect*>(req->data));
-                                    if (auto c = r->owner.lock()) c->connected(status);
-                                });
+        int rc =
+            uv_tcp_connect(&r->req, tcp_, reinterpret_cast<const sockaddr*>(&client_->address_),
+                           [](uv_connect_t* req, int status) {
+                               std::unique_ptr<Connect> r(static_cast<Connect*>(req->data));
+                               if (auto c = r->owner.lock()) c->connected(status);
+                           });
         if (rc < 0) {
             delete r;
             fail_soon_ = true;
@@ -142,8 +142,8 @@
         } else {
             std::size_t used =
                 http_parser_execute(&parser_, &settings(), data, static_cast<std::size_t>(n));
-            if (!complete_ && (HTTP_PARSER_ERRNO(&parser_) != HPE_OK ||
-                               used != static_cast<std::size_t>(n))) {
+            if (!complete_ &&
+                (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used != static_cast<std::size_t>(n))) {
                 finish_failed(Reply::Outcome::unknown);
                 return;
             }
@@ -286,10 +286,10 @@
     for (auto& c : open) c->check(now);
     for (auto& done : refused) done(Reply{Reply::Outcome::refused, 0, ""});
     pump();
-    bool busy = !queue_.empty() ||
-                std::any_of(connections_.begin(), connections_.end(), [](const auto& c) {
-                    return c->state() != ClientConnection::State::idle;
-                });
+    bool busy =
+        !queue_.empty() || std::any_of(connections_.begin(), connections_.end(), [](const auto& c) {
+            return c->state() != ClientConnection::State::idle;
+        });
     if (!busy) uv_timer_stop(timer_);
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,9 +10,7 @@
 constexpr std::size_t kMaxTarget = 4096;
 constexpr std::size_t kMaxHeaders = 16 * 1024;
 
-const char* reason(int status) {
-    return http_status_str(static_cast<http_status>(status));
-}
+const char* reason(int status) { return http_status_str(static_cast<http_status>(status)); }
 }  // namespace
 
 class Connection : public std::enable_shared_from_this<Connection> {
--- a/src/peers/mesh.cpp
+++ b/src/peers/mesh.cpp
@@ -120,9 +120,10 @@
 int Mesh::listen(const sockaddr_in& address) {
     int rc = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&address), 0);
     if (rc == 0) {
-        rc = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 16, [](uv_stream_t* s, int status) {
-            if (status == 0) static_cast<Mesh*>(s->data)->accept();
-        });
+        rc = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 16,
+                       [](uv_stream_t* s, int status) {
+                           if (status == 0) static_cast<Mesh*>(s->data)->accept();
+                       });
     }
     if (rc == 0) {
         for (std::size_t i = 0; i < peers_.size(); ++i) dial(i);
@@ -133,7 +134,8 @@
 
 void Mesh::accept() {
     auto line = std::make_shared<Line>(this);
-    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), reinterpret_cast<uv_stream_t*>(line->tcp)) < 0 ||
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_),
+                  reinterpret_cast<uv_stream_t*>(line->tcp)) < 0 ||
         in_.size() >= kMostIncoming) {
         line->close();
         return;
@@ -161,8 +163,10 @@
                                 std::unique_ptr<Connect> c(static_cast<Connect*>(req->data));
                                 auto line = c->owner.lock();
                                 if (!line || line->state != Line::State::dialing) return;
-                                if (status < 0) line->close();
-                                else line->opened();
+                                if (status < 0)
+                                    line->close();
+                                else
+                                    line->opened();
                             });
     if (rc < 0) {
         delete c;
@@ -172,7 +176,8 @@
 
 void Mesh::send(const std::string& peer, const std::string& frame) {
     for (std::size_t i = 0; i < peers_.size(); ++i) {
-        if (peers_[i].name == peer && out_[i] && out_[i]->state == Line::State::up) out_[i]->write(frame);
+        if (peers_[i].name == peer && out_[i] && out_[i]->state == Line::State::up)
+            out_[i]->write(frame);
     }
 }
 
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -17,9 +17,9 @@
     std::string from;
     std::uint64_t incarnation = 0;  // of the process
     std::uint64_t clock_ms = 0;     // its steady clock; a grant answers it
-    std::uint64_t term = 0;       // that the sender leads; 0: none
-    std::uint64_t state_ok = 0;   // 1: the state service serves it
-    struct Progress {             // of open jobs, for display; leader only
+    std::uint64_t term = 0;         // that the sender leads; 0: none
+    std::uint64_t state_ok = 0;     // 1: the state service serves it
+    struct Progress {               // of open jobs, for display; leader only
         std::string id;
         std::uint64_t done = 0, running = 0;
     };
@@ -35,7 +35,7 @@
     // A process that came back must not go on with a token whose commands its predecessor may still
     // have under way.
     std::uint64_t incarnation = 0;
-    std::uint64_t asked_ms = 0;     // clock of the status that this answers: the lease runs from then
+    std::uint64_t asked_ms = 0;  // clock of the status that this answers: the lease runs from then
     std::uint64_t lease_ms = 0;
     std::uint64_t view_age_ms = 0;  // how old the leader's knowledge of cancellations is
     std::vector<blocks::Member> machines;
--- a/src/placing/placer.cpp
+++ b/src/placing/placer.cpp
@@ -50,8 +50,9 @@
     double held = 0;
     for (const auto& c : m.images) held += c.gb;
     while (held > type.cache_gb && m.images.size() > 1) {
-        auto oldest = std::min_element(m.images.begin(), m.images.end(),
-                                       [](const auto& a, const auto& b) { return a.used < b.used; });
+        auto oldest =
+            std::min_element(m.images.begin(), m.images.end(),
+                             [](const auto& a, const auto& b) { return a.used < b.used; });
         if (oldest->image == image) break;
         held -= oldest->gb;
         m.images.erase(oldest);
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -11,8 +11,10 @@
 
 Item read_item(const Json& j) {
     Item item;
-    if (auto key = wire::text(j, "path")) item.key = *key;
-    else if (auto set = wire::text(j, "set")) item.key = *set;
+    if (auto key = wire::text(j, "path"))
+        item.key = *key;
+    else if (auto set = wire::text(j, "set"))
+        item.key = *set;
     else if (auto drop = wire::text(j, "drop")) {
         item.key = *drop;
         item.deleted = true;
@@ -46,13 +48,20 @@
 
 const char* name(Outcome o) {
     switch (o) {
-        case Outcome::ok: return "ok";
-        case Outcome::conflict: return "conflict";
-        case Outcome::missing: return "missing";
-        case Outcome::expired: return "expired";
-        case Outcome::refused: return "refused";
-        case Outcome::unknown: return "unknown";
-        case Outcome::broken: return "broken";
+        case Outcome::ok:
+            return "ok";
+        case Outcome::conflict:
+            return "conflict";
+        case Outcome::missing:
+            return "missing";
+        case Outcome::expired:
+            return "expired";
+        case Outcome::refused:
+            return "refused";
+        case Outcome::unknown:
+            return "unknown";
+        case Outcome::broken:
+            return "broken";
     }
     return "?";
 }
@@ -61,13 +70,19 @@
     if (r.outcome == net::Reply::Outcome::refused) return Outcome::refused;
     if (r.outcome == net::Reply::Outcome::unknown) return Outcome::unknown;
     switch (r.status) {
-        case 200: return Outcome::ok;
-        case 404: return Outcome::missing;
-        case 409: return Outcome::conflict;
-        case 410: return Outcome::expired;
+        case 200:
+            return Outcome::ok;
+        case 404:
+            return Outcome::missing;
+        case 409:
+            return Outcome::conflict;
+        case 410:
+            return Outcome::expired;
         case 429:
-        case 503: return Outcome::refused;
-        default: return Outcome::broken;
+        case 503:
+            return Outcome::refused;
+        default:
+            return Outcome::broken;
     }
 }
 
@@ -94,7 +109,8 @@
     Millis t = now();
     double elapsed = static_cast<double>(t - filled_) / 1000.0;
     filled_ = t;
-    requests_left_ = std::min(limits_.requests_per_s, requests_left_ + elapsed * limits_.requests_per_s);
+    requests_left_ =
+        std::min(limits_.requests_per_s, requests_left_ + elapsed * limits_.requests_per_s);
     writes_left_ = std::min(limits_.writes_per_s, writes_left_ + elapsed * limits_.writes_per_s);
     std::vector<net::HttpClient::Done> shed;
     bool waiting = false;
@@ -130,8 +146,10 @@
 
 void Client::note(const net::Reply& r) {
     if (r.outcome != net::Reply::Outcome::answered) return;
-    if (r.status == 503) last_refusal_ = now();
-    else last_answer_ = now();
+    if (r.status == 503)
+        last_refusal_ = now();
+    else
+        last_answer_ = now();
     if (r.status == 429) slow_until_ = now() + kBackOff;
 }
 
@@ -157,30 +175,31 @@
                        const std::string& after, Urgency urgency, ListDone done) {
     std::string target = "/kv?under=" + prefix + "&limit=500";
     if (!after.empty()) target += "&from=" + after;
-    submit(urgency, Call{"GET", target, "", 0, kListTimeout, 0,
-                         [this, sofar, prefix, urgency, done = std::move(done)](const net::Reply& r) {
-                             sofar->outcome = outcome_of(r);
-                             if (sofar->outcome != Outcome::ok) {
-                                 done(std::move(*sofar));
-                                 return;
-                             }
-                             auto body = wire::decode_map(r.body);
-                             if (!body || !read_items(*body, "items", sofar->items)) {
-                                 sofar->outcome = Outcome::broken;
-                                 done(std::move(*sofar));
-                                 return;
-                             }
-                             if (sofar->revision == 0) {
-                                 sofar->revision = wire::count(*body, "epoch").value_or(0);
-                             }
-                             bool more = wire::flag(*body, "truncated").value_or(false);
-                             if (more && !sofar->items.empty()) {
-                                 std::string last = sofar->items.back().key;
-                                 list_page(sofar, prefix, last, urgency, done);
-                             } else {
-                                 done(std::move(*sofar));
-                             }
-                         }});
+    submit(urgency,
+           Call{"GET", target, "", 0, kListTimeout, 0,
+                [this, sofar, prefix, urgency, done = std::move(done)](const net::Reply& r) {
+                    sofar->outcome = outcome_of(r);
+                    if (sofar->outcome != Outcome::ok) {
+                        done(std::move(*sofar));
+                        return;
+                    }
+                    auto body = wire::decode_map(r.body);
+                    if (!body || !read_items(*body, "items", sofar->items)) {
+                        sofar->outcome = Outcome::broken;
+                        done(std::move(*sofar));
+                        return;
+                    }
+                    if (sofar->revision == 0) {
+                        sofar->revision = wire::count(*body, "epoch").value_or(0);
+                    }
+                    bool more = wire::flag(*body, "truncated").value_or(false);
+                    if (more && !sofar->items.empty()) {
+                        std::string last = sofar->items.back().key;
+                        list_page(sofar, prefix, last, urgency, done);
+                    } else {
+                        done(std::move(*sofar));
+                    }
+                }});
 }
 
 void Client::commit(const Txn& txn, Urgency urgency, Millis timeout, CommitDone done) {
@@ -252,18 +271,21 @@
 void Client::watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done) {
     std::string target = "/watch?under=" + prefix + "&from=" + std::to_string(after) +
                          "&hold_ms=" + std::to_string(wait);
-    watches_.request("GET", target, "", wait + 5000, [this, done = std::move(done)](const net::Reply& r) {
-        note(r);
-        ListReply out;
-        out.outcome = outcome_of(r);
-        if (out.outcome == Outcome::ok) {
-            auto body = wire::decode_map(r.body);
-            auto revision = body ? wire::count(*body, "epoch") : std::nullopt;
-            if (!revision || !read_items(*body, "news", out.items)) out.outcome = Outcome::broken;
-            else out.revision = *revision;
-        }
-        done(std::move(out));
-    });
+    watches_.request("GET", target, "", wait + 5000,
+                     [this, done = std::move(done)](const net::Reply& r) {
+                         note(r);
+                         ListReply out;
+                         out.outcome = outcome_of(r);
+                         if (out.outcome == Outcome::ok) {
+                             auto body = wire::decode_map(r.body);
+                             auto revision = body ? wire::count(*body, "epoch") : std::nullopt;
+                             if (!revision || !read_items(*body, "news", out.items))
+                                 out.outcome = Outcome::broken;
+                             else
+                                 out.revision = *revision;
+                         }
+                         done(std::move(out));
+                     });
 }
 
 }  // namespace nickelramp::state
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -94,7 +94,7 @@
     // One long poll; the caller opens the next.
     void watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done);
 
-    Millis last_answer() const { return last_answer_; }    // when an answer last came, refusals aside
+    Millis last_answer() const { return last_answer_; }  // when an answer last came, refusals aside
     Millis last_refusal() const { return last_refusal_; }  // when a 503 last came
 
   private:
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -22,7 +22,8 @@
 constexpr std::array<const char*, 3> kShapes{"sweep", "ensemble", "standing"};
 constexpr std::array<const char*, 4> kPriorities{"best_effort", "normal", "urgent", "prod"};
 constexpr std::array<const char*, 4> kStatuses{"pending", "running", "done", "withdrawn"};
-constexpr std::array<const char*, 5> kPhases{"fetching", "gathering", "running", "saving", "exited"};
+constexpr std::array<const char*, 5> kPhases{"fetching", "gathering", "running", "saving",
+                                             "exited"};
 constexpr std::array<const char*, 9> kCauses{"",      "done", "stopped", "mates_gone", "incomplete",
                                              "error", "full", "busy",    "no_such"};
 constexpr std::array<const char*, 3> kHostStatuses{"booting", "running", "failed"};
@@ -72,12 +73,16 @@
     for (const Command& c : commands) {
         Json item = {{"leg", c.job + "/" + std::to_string(c.task)}, {"try", c.attempt}};
         switch (c.op) {
-            case Command::Op::start: item["verb"] = "start"; break;
+            case Command::Op::start:
+                item["verb"] = "start";
+                break;
             case Command::Op::stop:
                 item["verb"] = "stop";
                 item["wind_down_s"] = c.grace_s;
                 break;
-            case Command::Op::forget: item["verb"] = "forget"; break;
+            case Command::Op::forget:
+                item["verb"] = "forget";
+                break;
         }
         list.push_back(std::move(item));
     }
@@ -100,12 +105,20 @@
     j.job_class = in.name("jobclass");
     j.team = in.name("crew");
     auto shape = pick<Shape>(kShapes, text(body, "shape").value_or(""));
-    if (shape) j.shape = *shape; else in.bad("shape");
+    if (shape)
+        j.shape = *shape;
+    else
+        in.bad("shape");
     auto priority = pick<Priority>(kPriorities, text(body, "urgency").value_or(""));
-    if (priority) j.priority = *priority; else in.bad("urgency");
+    if (priority)
+        j.priority = *priority;
+    else
+        in.bad("urgency");
     auto tasks = count(body, "legs");
-    if (tasks && *tasks >= 1 && *tasks <= kMaxTasks) j.tasks = static_cast<std::uint32_t>(*tasks);
-    else in.bad("legs");
+    if (tasks && *tasks >= 1 && *tasks <= kMaxTasks)
+        j.tasks = static_cast<std::uint32_t>(*tasks);
+    else
+        in.bad("legs");
     j.cpus = in.number("cores");
     j.gpus = in.number("cards");
     j.memory_gb = in.number("mem_gb");
@@ -117,8 +130,10 @@
             in.bad("rigs");
         } else {
             for (const Json& t : *types) {
-                if (!t.is_string()) in.bad("rigs");
-                else j.types.push_back(t.get<std::string>());
+                if (!t.is_string())
+                    in.bad("rigs");
+                else
+                    j.types.push_back(t.get<std::string>());
             }
         }
     }
@@ -138,7 +153,8 @@
     return {{"id", id}, {"status", kStatuses[static_cast<std::size_t>(status)]}};
 }
 
-Json job_answer(const std::string& id, JobStatus status, std::uint64_t done, std::uint64_t running) {
+Json job_answer(const std::string& id, JobStatus status, std::uint64_t done,
+                std::uint64_t running) {
     Json out = job_answer(id, status);
     out["done"] = done;
     out["running"] = running;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -41,7 +41,17 @@
 const char* final_name(JobStatus status);
 
 enum class TaskPhase : std::uint8_t { fetching, waiting, running, saving, exited };
-enum class ExitCause : std::uint8_t { none, done, stopped, peers, alone, error, no_room, busy, unknown };
+enum class ExitCause : std::uint8_t {
+    none,
+    done,
+    stopped,
+    peers,
+    alone,
+    error,
+    no_room,
+    busy,
+    unknown
+};
 const char* name(TaskPhase p);
 const char* name(ExitCause c);
 
--- a/src/wire/settings.cpp
+++ b/src/wire/settings.cpp
@@ -44,7 +44,8 @@
     return *v;
 }
 
-double optional_amount(const Json& map, const std::string& where, const char* name, double otherwise) {
+double optional_amount(const Json& map, const std::string& where, const char* name,
+                       double otherwise) {
     if (field(map, name) == nullptr) return otherwise;
     auto v = amount(map, name);
     if (!v) fail(where + name, "must be a number of at least 0");
@@ -63,7 +64,8 @@
     s.peer_listen = address(root, "", "back");
     std::set<std::string> names{s.name};
     for (const Json& p : list(root, "", "peers")) {
-        Peer peer{word(p, "peers.", "host_name"), word(p, "peers.", "site"), address(p, "peers.", "addr")};
+        Peer peer{word(p, "peers.", "host_name"), word(p, "peers.", "site"),
+                  address(p, "peers.", "addr")};
         if (!names.insert(peer.name).second) fail("peers", "must have distinct names");
         s.peers.push_back(std::move(peer));
     }
@@ -89,11 +91,16 @@
         for (const Json& o : list(facts, "facts.", "objectives")) {
             Objective out;
             std::string kind = word(o, "facts.objectives.", "kind");
-            if (kind == "wait") out.kind = Objective::Kind::wait;
-            else if (kind == "finished") out.kind = Objective::Kind::finished;
-            else if (kind == "deadline") out.kind = Objective::Kind::deadline;
-            else if (kind == "guarantee") out.kind = Objective::Kind::guarantee;
-            else continue;  // kinds of later versions
+            if (kind == "wait")
+                out.kind = Objective::Kind::wait;
+            else if (kind == "finished")
+                out.kind = Objective::Kind::finished;
+            else if (kind == "deadline")
+                out.kind = Objective::Kind::deadline;
+            else if (kind == "guarantee")
+                out.kind = Objective::Kind::guarantee;
+            else
+                continue;  // kinds of later versions
             out.job_class = text(o, "class").value_or("");
             out.within_s = optional_amount(o, "facts.objectives.", "within_s", 0);
             out.times = optional_amount(o, "facts.objectives.", "times", 1);
--- a/src/workers/roster.cpp
+++ b/src/workers/roster.cpp
@@ -10,13 +10,20 @@
 
 const char* name(MachineState s) {
     switch (s) {
-        case MachineState::booting: return "booting";
-        case MachineState::joining: return "joining";
-        case MachineState::ready: return "ready";
-        case MachineState::lent: return "lent";
-        case MachineState::draining: return "draining";
-        case MachineState::returning: return "returning";
-        case MachineState::gone: return "gone";
+        case MachineState::booting:
+            return "booting";
+        case MachineState::joining:
+            return "joining";
+        case MachineState::ready:
+            return "ready";
+        case MachineState::lent:
+            return "lent";
+        case MachineState::draining:
+            return "draining";
+        case MachineState::returning:
+            return "returning";
+        case MachineState::gone:
+            return "gone";
     }
     return "?";
 }
