--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -430,7 +430,6 @@
     if (holding_.buries()) bury_timer_.after(0);
 }
 
-// --- cloud
 wire::Json Node::status() const {
     wire::Json out = {{"node", settings_.name},
                       {"leader", election_.leader()},
@@ -453,7 +452,7 @@
     }
 }
 
-// ----------------------------------------------------------------------------------------
+// --- cloud
 
 void Node::poll_hosts() {
     if (book_ != Book::running) return;
--- /dev/null
+++ b/tests/loopback_test.cpp
@@ -0,0 +1,238 @@
+// Real sockets on loopback: HTTP at the door, the users' desk and the election against a stand-in.
+#include <gtest/gtest.h>
+
+#include "jobs/desk.h"
+#include "leadership/term.h"
+#include "net/address.h"
+#include "net/http_client.h"
+#include "tests/standin.h"
+#include "tests/world.h"
+
+namespace {
+
+using namespace nickelramp;
+using wire::Json;
+
+struct Loopback : testing::Test {
+    uv_loop_t loop;
+    Loopback() { uv_loop_init(&loop); }
+    ~Loopback() override {
+        uv_run(&loop, UV_RUN_NOWAIT);
+        uv_run(&loop, UV_RUN_NOWAIT);
+        uv_loop_close(&loop);
+    }
+    bool until(const std::function<bool()>& f) { return test::run_until(&loop, f); }
+    // One request, and its answer.
+    net::Reply ask(net::HttpClient& c, const char* method, const std::string& path,
+                   std::string body = "") {
+        net::Reply out;
+        bool done = false;
+        c.request(method, path, std::move(body), 15'000, [&](const net::Reply& r) {
+            out = r;
+            done = true;
+        });
+        EXPECT_TRUE(until([&] { return done; }));
+        return out;
+    }
+    // Bytes as they are, and what comes back before the connection closes.
+    std::string raw(int port, const std::string& bytes) {
+        struct Talk {
+            uv_tcp_t tcp;
+            uv_connect_t connect;
+            uv_write_t write;
+            std::string out, in;
+            bool closed = false;
+        };
+        auto t = std::make_unique<Talk>();
+        t->out = bytes;
+        uv_tcp_init(&loop, &t->tcp);
+        t->tcp.data = t->connect.data = t.get();
+        auto address = *net::parse_address("127.0.0.1:" + std::to_string(port));
+        uv_tcp_connect(
+            &t->connect, &t->tcp, reinterpret_cast<sockaddr*>(&address), [](uv_connect_t* c, int) {
+                auto* t = static_cast<Talk*>(c->data);
+                uv_buf_t buf = uv_buf_init(t->out.data(), static_cast<unsigned>(t->out.size()));
+                uv_write(&t->write, c->handle, &buf, 1, [](uv_write_t*, int) {});
+                uv_read_start(
+                    c->handle,
+                    [](uv_handle_t*, std::size_t, uv_buf_t* b) {
+                        static char space[65536];
+                        *b = uv_buf_init(space, sizeof space);
+                    },
+                    [](uv_stream_t* s, ssize_t n, const uv_buf_t* b) {
+                        auto* t = static_cast<Talk*>(s->data);
+                        if (n > 0) t->in.append(b->base, static_cast<std::size_t>(n));
+                        if (n < 0) t->closed = true;
+                    });
+            });
+        EXPECT_TRUE(until([&] { return t->closed; }));
+        bool gone = false;
+        t->tcp.data = &gone;
+        uv_close(reinterpret_cast<uv_handle_t*>(&t->tcp),
+                 [](uv_handle_t* h) { *static_cast<bool*>(h->data) = true; });
+        until([&] { return gone; });
+        return t->in;
+    }
+};
+
+TEST_F(Loopback, BrokenHttpIsClosedAndOversizeRefused) {
+    net::HttpServer server(&loop, 8, [](const net::Request& q, net::Responder r) {
+        r.send({200, std::to_string(q.body.size()), 0, "text/plain"});
+    });
+    ASSERT_EQ(server.listen(*net::parse_address("127.0.0.1:39301")), 0);
+    EXPECT_EQ(raw(39301, "nonsense\r\n\r\n"), "");
+    EXPECT_NE(raw(39301, "GET /" + std::string(8000, 'x') + " HTTP/1.1\r\n\r\n").find(" 414 "),
+              std::string::npos);
+    EXPECT_NE(
+        raw(39301, "GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n").find(" 431 "),
+        std::string::npos);
+    EXPECT_NE(
+        raw(39301, "POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" + std::string(70000, 'x'))
+            .find(" 413 "),
+        std::string::npos);
+    EXPECT_NE(raw(39301, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").find(" 200 "),
+              std::string::npos);
+    net::HttpClient client(&loop, *net::parse_address("127.0.0.1:39301"), "x", 1, 4);
+    EXPECT_EQ(ask(client, "POST", "/", std::string(60'000, 'y')).body, "60000");
+    EXPECT_EQ(ask(client, "GET", "/").body, "0");  // the same connection
+    EXPECT_EQ(server.connections(), 1u);
+}
+
+TEST_F(Loopback, NobodyThereIsRefusedNotUnknown) {
+    net::HttpClient client(&loop, *net::parse_address("127.0.0.1:39302"), "x", 1, 4);
+    EXPECT_EQ(ask(client, "GET", "/").outcome, net::Reply::Outcome::refused);
+}
+
+struct DeskOnLoopback : Loopback {
+    wire::Settings settings = test::world_settings();
+    test::StateStandin standin{&loop, 39303};
+    state::Client state{&loop, *net::parse_address("127.0.0.1:39303"), "state", {200, 200}};
+    std::vector<int> counted;
+    jobs::Desk desk{
+        settings,
+        state,
+        {[] { return std::int64_t{1}; }, [this] { return static_cast<Millis>(uv_now(&loop)); },
+         [this](const char*, int status, Millis) { counted.push_back(status); },
+         [](const std::string&, std::uint64_t&, std::uint64_t&) { return false; }}};
+    net::HttpServer server{&loop, 8, [this](const net::Request& q, net::Responder r) {
+                               if (!desk.handle(q, r)) r.send({404, "", 0, "x"});
+                           }};
+    net::HttpClient user{&loop, *net::parse_address("127.0.0.1:39304"), "desk", 2, 8};
+    DeskOnLoopback() {
+        EXPECT_EQ(server.listen(*net::parse_address("127.0.0.1:39304")), 0);
+        desk.set_types({{"g4", 16, 4, 64, 50, 1, 10, 4, 10, {"a", "b"}}});
+    }
+    std::string status_of(const net::Reply& r) {
+        auto body = wire::decode_map(r.body);
+        return body ? wire::text(*body, "status").value_or("") : "";
+    }
+};
+
+TEST_F(DeskOnLoopback, TakesAJobOnceAndKeepsItsEnd) {
+    std::string body = wire::encode(test::job("job-1", "sweep", 2, 1));
+    EXPECT_EQ(ask(user, "GET", "/work/job-1").status, 404);
+    EXPECT_EQ(ask(user, "POST", "/work", body).status, 201);
+    EXPECT_EQ(ask(user, "POST", "/work", body).status, 200);
+    EXPECT_EQ(status_of(ask(user, "GET", "/work/job-1")), "pending");
+    EXPECT_TRUE(standin.has("open/job-1"));
+    EXPECT_EQ(status_of(ask(user, "POST", "/work/job-1/abort")), "withdrawn");
+    EXPECT_EQ(status_of(ask(user, "POST", "/work/job-1/abort")), "withdrawn");
+    EXPECT_EQ(status_of(ask(user, "POST", "/work", body)), "withdrawn");
+    EXPECT_EQ(ask(user, "POST", "/work/job-9/abort").status, 404);
+    EXPECT_EQ(ask(user, "GET", "/work").status, 405);
+    EXPECT_EQ(ask(user, "POST", "/work", "no cbor").status, 400);
+    Json never = test::job("job-2", "sweep", 1, 5);
+    EXPECT_EQ(ask(user, "POST", "/work", wire::encode(never)).status, 422);
+    EXPECT_EQ(counted.front(), 201);
+}
+
+// Guards against contradicting a job that was accepted under other machine types.
+TEST_F(DeskOnLoopback, AKnownJobIsNeverTurnedAway) {
+    std::string body = wire::encode(test::job("job-1", "sweep", 2, 4));
+    EXPECT_EQ(ask(user, "POST", "/work", body).status, 201);
+    desk.set_types({{"g1", 16, 1, 64, 50, 1, 10, 4, 10, {"a"}}});
+    EXPECT_EQ(ask(user, "POST", "/work", body).status, 200);
+}
+
+TEST_F(DeskOnLoopback, AnOutageIsAnsweredAtOnceAndForgetsNothing) {
+    std::string body = wire::encode(test::job("job-1", "sweep", 2, 1));
+    EXPECT_EQ(ask(user, "POST", "/work", body).status, 201);
+    standin.down = true;
+    auto refused = ask(user, "POST", "/work", wire::encode(test::job("job-2", "sweep", 2, 1)));
+    EXPECT_EQ(refused.status, 503);
+    EXPECT_EQ(ask(user, "GET", "/work/job-1").status, 503);  // not 404
+    standin.down = false;
+    EXPECT_EQ(ask(user, "GET", "/work/job-1").status, 200);
+    EXPECT_EQ(ask(user, "GET", "/work/job-2").status, 404);
+}
+
+TEST_F(DeskOnLoopback, AnUnknownOutcomeIsNoAnswer) {
+    std::string body = wire::encode(test::job("job-1", "sweep", 2, 1));
+    standin.swallow_next = true;
+    EXPECT_EQ(ask(user, "POST", "/work", body).status, 503);  // applied, but who could know
+    EXPECT_EQ(ask(user, "POST", "/work", body).status, 200);
+}
+
+TEST_F(Loopback, TheSeatIsTakenByOneAndPassedOn) {
+    test::StateStandin standin(&loop, 39305);
+    struct Candidate {
+        state::Client state;
+        std::uint64_t term = 0;
+        bool leads = false;
+        leadership::Election election;
+        Candidate(uv_loop_t* loop, const char* name, std::uint64_t seed)
+            : state(loop, *net::parse_address("127.0.0.1:39305"), "state", {200, 200}),
+              election(loop, state, name, seed,
+                       {[this](std::uint64_t t, std::uint64_t) {
+                            term = t;
+                            leads = true;
+                        },
+                        [] {}, [] {}, [this](const std::string&) { leads = false; },
+                        [](const std::string&) {}}) {
+            election.start();
+        }
+    };
+    Candidate a(&loop, "a", 1), b(&loop, "b", 2);
+    ASSERT_TRUE(until([&] { return a.leads || b.leads; }));
+    Candidate& first = a.leads ? a : b;
+    Candidate& second = a.leads ? b : a;
+    ASSERT_TRUE(until([&] { return second.election.leader() == (&first == &a ? "a" : "b"); }));
+    EXPECT_FALSE(a.leads && b.leads);
+    first.election.step_down("test", 60'000);
+    ASSERT_TRUE(until([&] { return second.leads; }));
+    EXPECT_FALSE(first.leads);
+    EXPECT_GT(second.term, first.term);
+}
+
+TEST(Leadership, AHoldIsTrustedFromTheSendingOfItsRenewal) {
+    leadership::Validity v(4000);
+    EXPECT_FALSE(v.valid(0));
+    v.renewed(1000);
+    EXPECT_TRUE(v.valid(4900));
+    EXPECT_FALSE(v.valid(5000 - 4));  // drift is allowed for
+    v.renewed(500);                   // an older answer that came late
+    EXPECT_TRUE(v.valid(4900));
+    v.reset();
+    EXPECT_FALSE(v.valid(1001));
+}
+
+TEST(Blocks, GrantsAreRecordedAndRise) {
+    blocks::Ledger ledger;
+    ledger.begin(7, "a");
+    for (int i = 0; i < 40; ++i) ledger.add({"i-" + std::to_string(i), "x:1", "g4", "a", false});
+    EXPECT_EQ(ledger.blocks().size(), 2u);  // a record holds 32
+    std::uint64_t own = ledger.token_of("i-0");
+    std::uint32_t n = ledger.lend({"i-0", "i-35"}, "b");
+    EXPECT_GT(ledger.token_of("i-0"), own | 0xfff);  // above every raise of the earlier grant
+    auto back = blocks::read_block(blocks::block_record(ledger.block(n)));
+    ASSERT_TRUE(back);
+    EXPECT_EQ(back->holder, "b");
+    ASSERT_EQ(back->members.size(), 2u);
+    EXPECT_EQ(back->members[1].name, "i-35");
+    std::uint64_t lent = ledger.token_of("i-0");
+    ledger.take_back(n);
+    EXPECT_GT(ledger.token_of("i-0"), lent | 0xfff);
+    EXPECT_GT(blocks::grant_token(8, 1), blocks::grant_token(7, 0xfffff) | 0xfff);
+}
+
+}  // namespace
