--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -360,7 +360,7 @@
     tend_holding();
     if (book_ != Book::running) return;
     dispatcher_->tick(now());
-    if (dispatcher_->cut_off(now())) {
+    if (dispatcher_->cut_off()) {
         if (blind_since_ == 0) blind_since_ = now();
         if (now() - blind_since_ > seconds(2 * settings_.report_s) &&
             election_.state() == leadership::State::leading) {
@@ -373,10 +373,9 @@
     }
     if (now() >= prune_at_) {
         prune_at_ = now() + kPruneEvery;
-        std::unordered_map<std::string, bool> alive;
-        for (const auto* m : dispatcher_->roster().all()) alive[m->name] = true;
-        for (const auto& m : holding_.machines()) alive[m.name] = true;
-        std::erase_if(workers_, [&](const auto& w) { return alive.count(w.first) == 0; });
+        std::erase_if(workers_, [&](const auto& w) {
+            return !dispatcher_->roster().has(w.first) && !holding_.holds(w.first);
+        });
     }
     if (!state_served() && peers_served() && election_.state() == leadership::State::doubting) {
         election_.step_down("the state service refuses this node alone", kRest);
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -20,12 +20,23 @@
 
 void Dispatcher::set_attempt_state(Attempt& a, AttemptState s, Millis now) {
     if (a.state == s) return;
-    spdlog::debug("task {}/{} try {}: {} -> {}", job_of(a).spec.id, a.task, a.number, name(a.state),
+    Job& j = job_of(a);
+    spdlog::debug("task {}/{} try {}: {} -> {}", j.spec.id, a.task, a.number, name(a.state),
                   name(s));
+    auto runs = [](AttemptState x) {
+        return x == AttemptState::running || x == AttemptState::saving;
+    };
+    if (runs(a.state) != runs(s)) {
+        j.running += runs(s) ? 1 : -1;
+        if (j.spec.shape == wire::Shape::array) learned_[j.job_class].running += runs(s) ? 1 : -1;
+    }
+    if (a.state == AttemptState::recording) {
+        --j.recording;
+        if (a.in_commit == 0) --j.unrecorded;
+    }
     a.set_state(s);
     if (s != AttemptState::running || a.running_since != 0) return;
     a.running_since = now;
-    Job& j = job_of(a);
     if (metrics_ != nullptr && a.number == 1) {
         metrics_->started(j.spec.job_class, static_cast<double>(now - j.accepted_at) / 1000.0);
     }
@@ -36,6 +47,9 @@
     m.gpus_free -= j.spec.gpus;
     m.memory_free -= j.spec.memory_gb;
     m.attempts.push_back(&a);
+    ++m.live;
+    if (j.spec.shape != wire::Shape::array) ++m.firm;
+    refresh(m);
     teams_[j.team].cpus += j.spec.cpus;
     teams_[j.team].gpus += j.spec.gpus;
     ++j.live;
@@ -46,6 +60,9 @@
         m->cpus_free += j.spec.cpus;
         m->gpus_free += j.spec.gpus;
         m->memory_free += j.spec.memory_gb;
+        --m->live;
+        if (j.spec.shape != wire::Shape::array) --m->firm;
+        refresh(*m);
     }
     teams_[j.team].cpus -= j.spec.cpus;
     teams_[j.team].gpus -= j.spec.gpus;
@@ -53,6 +70,37 @@
     dirty_ = true;
 }
 
+// After any change of a machine's state or room: what is found and summed up without a look at
+// every machine.
+void Dispatcher::refresh(Machine& m) {
+    if (m.usable() && m.type != kNone && m.cpus_free > placing::kSlack)
+        openings_.put(m.index, {m.type, m.zone, m.spot}, m.cpus_free, m.gpus_free);
+    else
+        openings_.remove(m.index);
+    bool spare = m.usable() && !m.spot && m.firm == 0;
+    if (spare != m.spare) spare_ += spare ? 1 : -1;
+    m.spare = spare;
+    bool up = m.up_at != 0 && m.state != MachineState::booting && m.state != MachineState::lent &&
+              m.state != MachineState::gone;
+    if (up != m.up) up_ += up ? 1 : -1;
+    m.up = up;
+    if (!up) set_silent(m, false);
+}
+
+void Dispatcher::reserve(Machine& m, Job& j, Millis until) {
+    drop_reservation(m);
+    m.reserved_for = j.index;
+    m.reserved_until = until;
+    j.reserved.push_back(m.index);
+}
+
+void Dispatcher::drop_reservation(Machine& m) {
+    if (m.reserved_for == kNone) return;
+    std::erase(slots_[m.reserved_for]->reserved, m.index);
+    m.reserved_for = kNone;
+    dirty_ = true;
+}
+
 // start(t,n) asks the automata: after acceptance, never after a cancel, and only once every earlier
 // attempt of the same task (of the whole gang, for a gang) is gone.
 bool Dispatcher::link_start(Job& j, Attempt& a) {
@@ -63,7 +111,9 @@
     l.add(Links::Kind::order, j.accepted_event, a.start_event);
     l.add(Links::Kind::existence, a.start_event, j.accepted_event);
     l.add(Links::Kind::order, a.start_event, j.cancelled_event);
+    // A first attempt has none before it.
     for (const auto& other : j.attempts) {
+        if (a.number == 1) break;
         if (other.get() == &a || other->gone_event == kNone) continue;
         bool earlier = j.gang() ? other->number != a.number : other->task == a.task;
         if (!earlier) continue;
@@ -90,9 +140,12 @@
     }
     spdlog::debug("task {}/{} try {}: placed on {}", j.spec.id, task, number, m.name);
     occupy(a, j, m);
+    a.place = static_cast<std::uint32_t>(j.attempts.size());
     j.attempts.push_back(std::move(owned));
+    ++j.recording;
+    ++j.unrecorded;
     j.chunks[task / jobs::kChunkTasks].dirty = true;
-    if (m.reserved_for == j.index) m.reserved_for = kNone;
+    if (m.reserved_for == j.index) drop_reservation(m);
     placing::touch_image(m, types_[m.type], j.image, j.spec.image_gb, false, now);
     return &a;
 }
@@ -105,7 +158,7 @@
     if (a.live()) {
         spdlog::debug("task {}/{} try {}: gone ({})", j.spec.id, a.task, a.number, name(a.state));
         release(a, j);
-        a.set_state(AttemptState::exited);
+        set_attempt_state(a, AttemptState::exited, now);
         over(j, a, now);
     }
     std::string id = j.spec.id;
@@ -157,7 +210,9 @@
             break_gang(j, now);
         if (j.live == 0) j.gang_broken = false;
     }
+    want_places(j);
     maybe_finish(j, now);
+    attend(j, now);
 }
 
 void Dispatcher::requeue(Job& j, const Attempt& a) {
@@ -170,8 +225,10 @@
         std::erase(m->attempts, &a);
     }
     auto& list = job_of(a).attempts;
-    auto it = std::find_if(list.begin(), list.end(), [&](const auto& x) { return x.get() == &a; });
-    if (it != list.end()) list.erase(it);
+    const std::uint32_t place = a.place;
+    std::swap(list[place], list.back());
+    list[place]->place = place;
+    list.pop_back();
 }
 
 void Dispatcher::want_gone(Attempt& a, double grace_s, Millis now) {
@@ -239,7 +296,9 @@
         j.hold_until = now + std::min(kBackOffMost, kBackOffFirst << std::min(j.back_offs, 6u));
         ++j.back_offs;
         // Its failures say nothing about the machines.
-        for (Machine* other : roster_.all()) {
+        for (Index i : j.failed_on) {
+            Machine* other = roster_.at(i);
+            if (other == nullptr) continue;
             std::erase(other->failed_jobs, j.index);
             if (other->failed_jobs.empty()) other->probation_until = 0;
         }
--- a/src/dispatch/checkpoint.cpp
+++ b/src/dispatch/checkpoint.cpp
@@ -11,18 +11,25 @@
 
 namespace {
 constexpr Millis kRetry = 250;
-constexpr Millis kDoneDelay = 1500;  // completions wait this long for company
+constexpr Millis kDoneDelay = 10'000;  // completions wait this long for company
+// Places that come free one by one are recorded together: a record each would be more than the
+// state service takes.
+constexpr Millis kCommitGap = 300;
+constexpr Millis kBlockGap = 100;
+constexpr std::size_t kMostNamed = 1200;  // machines in one transaction, for its size
 }  // namespace
 
-bool Dispatcher::needs_commit(const Job& j, Millis now) const {
-    if (j.commit_in_flight || now < j.retry_commit_at || j.state == JobState::finished)
-        return false;
-    if (j.state != JobState::open || j.lent_to != kNone)
-        return false;  // its last transaction says it all
-    for (const auto& a : j.attempts) {
-        if (a->state == AttemptState::recording && a->in_commit == 0) return true;
+// When the job's next checkpoint is to be written; kNever if there is nothing to write.
+Millis Dispatcher::commit_due(const Job& j) const {
+    if (j.commit_in_flight || j.lent_to != kNone) return kNever;
+    if (j.state != JobState::open) return kNever;  // its last transaction says it all
+    Millis due = kNever;
+    if (j.done_dirty_since != 0) due = j.done_dirty_since + kDoneDelay;
+    if (j.unrecorded > 0) {
+        bool piecemeal = j.spec.shape == wire::Shape::array && j.unstarted() > 0;
+        due = std::min(due, piecemeal ? j.committed_at + kCommitGap : 0);
     }
-    return j.done_dirty_since != 0 && now - j.done_dirty_since >= kDoneDelay;
+    return due == kNever ? kNever : std::max(due, j.retry_commit_at);
 }
 
 // One conditional transaction for one pipeline: its chunks, on condition that this term lasts, that
@@ -34,12 +41,21 @@
     std::vector<std::uint32_t> written;
     std::uint64_t serial = ++j.commits;
     for (auto& [n, c] : j.chunks) {
-        if (!c.dirty) continue;
-        if (c.uncertain) {
+        // Before any chunk is marked as written: those of a transaction that is not sent would stay
+        // unrecorded for good.
+        if (c.dirty && c.uncertain) {
             reread_chunk(j, n);
             return;
         }
-        if (written.size() >= settings_.state_txn_ops) break;
+    }
+    std::size_t named = 0;
+    bool more = false;
+    for (auto& [n, c] : j.chunks) {
+        if (!c.dirty) continue;
+        if (written.size() >= settings_.state_txn_ops || named >= kMostNamed) {
+            more = true;
+            break;
+        }
         jobs::RunRecord record;
         record.done = c.done;
         std::uint32_t first = n * jobs::kChunkTasks;
@@ -47,7 +63,11 @@
             if (a->task / jobs::kChunkTasks != n || !a->live() || j.is_done(a->task)) continue;
             Machine* m = machine_of(*a);
             record.entries.push_back({a->task, a->number, true, m == nullptr ? "" : m->name});
-            if (a->state == AttemptState::recording) a->in_commit = serial;
+            if (a->state == AttemptState::recording) {
+                if (a->in_commit == 0) --j.unrecorded;
+                a->in_commit = serial;
+                j.committed_at = now;
+            }
         }
         for (const jobs::Waiting& w : j.waiting) {
             if (w.task / jobs::kChunkTasks == n && w.last_attempt > 0) {
@@ -57,6 +77,7 @@
         if (j.gang() && j.live == 0 && j.gang_attempt > 0) {
             record.entries.push_back({first, j.gang_attempt, false, ""});
         }
+        named += record.entries.size();
         txn.conditions.push_back({jobs::run_key(j.spec.id, n), c.version});
         txn.writes.push_back({jobs::run_key(j.spec.id, n), jobs::run_record(record)});
         c.dirty = false;
@@ -68,8 +89,7 @@
         return;
     }
     j.commit_in_flight = true;
-    j.done_dirty_since = 0;
-    (void)now;
+    j.done_dirty_since = more ? now : 0;
     outbox_.commit(std::move(txn), guarded([this, id = j.spec.id, serial, written](
                                                Millis t, const state::CommitReply& reply) {
                        on_job_commit(id, serial, written, reply, t);
@@ -99,13 +119,16 @@
             }
         }
         maybe_finish(j, now);
+        attend(j, now);
         flush_poked(now);
         return;
     }
     for (std::uint32_t n : chunks) j.chunks[n].dirty = true;
     if (j.done_dirty_since == 0) j.done_dirty_since = now;
     for (const auto& a : j.attempts) {
-        if (a->in_commit == serial) a->in_commit = 0;
+        if (a->in_commit != serial) continue;
+        a->in_commit = 0;
+        if (a->state == AttemptState::recording) ++j.unrecorded;
     }
     j.retry_commit_at = now + kRetry;
     if (reply.outcome == state::Outcome::unknown) {
@@ -124,6 +147,7 @@
         j.retry_commit_at = now + 4 * kRetry;
     }
     maybe_finish(j, now);
+    attend(j, now);
 }
 
 void Dispatcher::reread_chunk(Job& j, std::uint32_t chunk) {
@@ -143,14 +167,19 @@
                      } else {
                          found->retry_commit_at = t + kRetry;
                      }
-                     if (needs_commit(*found, t)) commit_job(*found, t);
+                     if (t >= commit_due(*found)) commit_job(*found, t);
                      maybe_finish(*found, t);
+                     attend(*found, t);
                  }));
 }
 
 // Grants are on record before their machines are used.
 void Dispatcher::commit_blocks(Millis now) {
-    if (blocks_in_flight_ || !confirmed_ || now < retry_blocks_at_ || !ledger_.dirty()) return;
+    if (blocks_in_flight_ || !confirmed_ || now < std::max(retry_blocks_at_, next_blocks_at_)) {
+        return;
+    }
+    if (!ledger_.dirty()) return;
+    next_blocks_at_ = now + kBlockGap;  // machines that join one by one are recorded together
     state::Txn txn;
     txn.conditions = conditions();
     auto numbers = ledger_.to_write(settings_.state_txn_ops / 2);
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -16,14 +16,19 @@
 }  // namespace
 
 void Dispatcher::poke(Machine& m) {
-    if (std::find(poked_.begin(), poked_.end(), m.index) == poked_.end()) poked_.push_back(m.index);
+    if (m.poked) return;
+    m.poked = true;
+    poked_.push_back(m.index);
 }
 
 void Dispatcher::flush_poked(Millis now) {
     auto list = std::move(poked_);
     poked_.clear();
     for (Index i : list) {
-        if (Machine* m = roster_.at(i)) flush(*m, now);
+        Machine* m = roster_.at(i);
+        if (m == nullptr) continue;
+        m->poked = false;
+        flush(*m, now);
     }
 }
 
@@ -65,7 +70,11 @@
 }
 
 void Dispatcher::flush(Machine& m, Millis now) {
-    if (m.direct_in_flight || now < m.retry_direct_at || m.address.empty()) return;
+    if (m.direct_in_flight || m.address.empty()) return;
+    if (now < m.retry_direct_at) {
+        machine_agenda_.by(m.index, m.retry_direct_at);
+        return;
+    }
     if (m.state == MachineState::booting || m.state == MachineState::lent || m.token == 0) return;
     std::vector<Command> commands;
     for (Attempt* a : m.attempts) {
@@ -74,7 +83,9 @@
         if (a->live() && a->must_go && !a->told_stop) {
             commands.push_back({Command::Op::stop, j.spec.id, a->task, a->number, a->grace_s});
             a->told_stop = true;
-        } else if (a->state == AttemptState::recorded && confirmed_ && m.confirmed() &&
+        } else if (a->state == AttemptState::recorded && !confirmed_) {
+            machine_agenda_.by(m.index, now + kRetryRefused);
+        } else if (a->state == AttemptState::recorded && m.confirmed() &&
                    j.state == jobs::JobState::open) {
             if (j.gang() && !gang_recorded(j)) continue;
             commands.push_back({Command::Op::start, j.spec.id, a->task, a->number, 0});
@@ -95,10 +106,7 @@
 }
 
 // Only gangs that are recorded as a whole are started.
-bool Dispatcher::gang_recorded(const Job& j) const {
-    return std::all_of(j.attempts.begin(), j.attempts.end(),
-                       [](const auto& a) { return a->state != AttemptState::recording; });
-}
+bool Dispatcher::gang_recorded(const Job& j) const { return j.recording == 0; }
 
 void Dispatcher::on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
                            Millis now) {
@@ -151,8 +159,11 @@
 void Dispatcher::machine_gone(Machine& m, Millis now) {
     spdlog::info("machine {} is gone with {} tasks", m.name, m.attempts.size());
     set_machine_state(m, MachineState::gone);
+    drop_reservation(m);
+    machine_agenda_.forget(m.index);
     while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
     if (m.type != kNone) {
+        --machines_in_[m.zone];
         // Its place at the cloud is free again.
         if (auto it = offers_.find({m.type, m.zone, m.spot}); it != offers_.end()) it->second = {};
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -4,20 +4,23 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "admin/metrics.h"
 #include "admin/options.h"
+#include "base/agenda.h"
 #include "base/names.h"
 #include "base/time.h"
 #include "blocks/ledger.h"
+#include "dispatch/guarantee.h"
 #include "dispatch/outbox.h"
 #include "fleet/forecast.h"
 #include "jobs/job.h"
 #include "peers/messages.h"
+#include "placing/openings.h"
 #include "placing/placer.h"
 #include "wire/settings.h"
 #include "workers/roster.h"
@@ -102,7 +105,7 @@
     };
     Summary summary() const;
     // Most machines have fallen silent at once: rather this node's trouble than theirs.
-    bool cut_off(Millis now) const;
+    bool cut_off() const { return up_ >= 3 && silent_ * 2 > up_; }
 
     void set_metrics(admin::Metrics* metrics) { metrics_ = metrics; }
     // The jobs that wait, with the reason, and those past or about to pass an objective.
@@ -120,6 +123,7 @@
     using AttemptState = jobs::AttemptState;
     using Machine = workers::Machine;
     using MachineState = workers::MachineState;
+    using Need = placing::Need;
 
     // intake.cpp
     Job* add_job(const jobs::OpenRecord& record, std::uint64_t version, std::int64_t wall_ms,
@@ -130,13 +134,19 @@
     void maybe_finish(Job& j, Millis now);
     void finish_commit(Job& j, Millis now);
     void maybe_drop(const std::string& id);
-    void update_guarantees(Index team);
+    void want_places(Job& j);
+    void attend(Job& j, Millis now);
+    void tend(Job& j, Millis now);
+    void tend_jobs(Millis now);
 
     // attempts.cpp
     void set_attempt_state(Attempt& a, AttemptState s, Millis now);
     void set_machine_state(Machine& m, MachineState s);
     void occupy(Attempt& a, Job& j, Machine& m);
     void release(Attempt& a, Job& j);
+    void refresh(Machine& m);
+    void reserve(Machine& m, Job& j, Millis until);
+    void drop_reservation(Machine& m);
     bool link_start(Job& j, Attempt& a);
     Attempt* place(Job& j, std::uint32_t task, std::uint32_t number, Machine& m, Millis now);
     void unplace(Attempt& a, Millis now);  // never sent
@@ -164,6 +174,7 @@
     void absorb(Machine& m, const wire::Report& r, Millis now);
     void see(Attempt& a, const wire::TaskReport& t, Machine& m, Millis now);
     void join(Machine& m, Millis now);
+    void set_silent(Machine& m, bool silent);
     bool newer_leader(const wire::Report& r);
 
     // commands.cpp
@@ -179,7 +190,7 @@
 
     // checkpoint.cpp
     bool gang_recorded(const Job& j) const;
-    bool needs_commit(const Job& j, Millis now) const;
+    Millis commit_due(const Job& j) const;
     void commit_job(Job& j, Millis now);
     void on_job_commit(const std::string& id, std::uint64_t serial,
                        const std::vector<std::uint32_t>& chunks, const state::CommitReply& reply,
@@ -200,6 +211,8 @@
     bool may_evict(const Attempt& a, const Job& j);
     bool make_room(Job& j, std::uint32_t tasks, Millis now);
     bool allowed(const Job& j, const Machine& m) const;
+    bool may_get(const Job& j, const Machine& m, const Need& need, Millis now) const;
+    std::vector<Machine*> fitting(const Job& j, const Need& need, Millis now);
     std::vector<Job*> queue(Millis now);
     jobs::Urgency urgency(const Job& j, Millis now) const;
 
@@ -239,18 +252,19 @@
 
     // supply.cpp
     void plan_supply(const std::vector<Job*>& unplaced, Millis now);
-    std::uint32_t places_soon_free(Millis now) const;
+    std::uint32_t places_soon_free() const;
     double expected_run_s(const Job& j) const;
     void learn_run(const Job& j, const Attempt& a, Millis now);
     void hire(Index type, Index zone, bool spot, std::uint32_t count, Millis now);
     void on_hired(std::string request, Index type, Index zone, bool spot, std::uint32_t count,
                   const HireReply& reply, Millis now);
     void watch_machines(Millis now);
+    void watch_machine(Machine& m, Millis now);
     void return_machine(Machine& m, const char* why);
     void send_returns(Millis now);
-    Millis idle_keep(const Machine& m) const;
+    Millis idle_keep(const Machine& m, Millis now);
     bool whole(const Job& j) const;
-    void count_spare(Millis now);
+    std::size_t spare_wanted(Millis now);
     bool move_replicas(Machine& from, Millis now);
     void consolidate(Millis now);
 
@@ -289,15 +303,24 @@
     std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
     std::vector<Job*> slots_;
     std::vector<Index> free_slots_;
+    std::vector<Index> waiting_;  // jobs that want places
+    Agenda job_agenda_;
+    std::vector<std::unique_ptr<Guarantee>> guarantees_;  // by team
     workers::Roster roster_;
+    placing::Openings openings_;
+    Agenda machine_agenda_;
+    std::set<Index> coming_, returning_;      // machines booting or joining; to be given back
+    std::vector<std::uint32_t> machines_in_;  // by zone
+    std::size_t up_ = 0, silent_ = 0;         // machines that report, and those that have ceased to
+    std::size_t sought_from_ = 0;             // where the search for victims goes on
     blocks::Ledger ledger_;
     bool blocks_in_flight_ = false;
-    Millis retry_blocks_at_ = 0;
+    Millis retry_blocks_at_ = 0, next_blocks_at_ = 0;
     std::vector<std::string> leftovers_;  // run records of finished jobs to delete
 
     std::vector<Index> poked_;
     bool dirty_ = true;  // something changed that the schedule depends on
-    Millis next_pass_ = 0;
+    Millis next_pass_ = 0, next_supply_ = 0, next_share_ = 0;
 
     struct Offer {  // what the cloud last said about one kind of machine in one zone
         Millis blocked_until = 0;
@@ -305,13 +328,14 @@
     };
     std::map<std::tuple<Index, Index, bool>, Offer> offers_;
     struct Learned {
-        double ran_s = 0, guessed_s = 0;
+        double ran_s = 0, guessed_s = 0, weight = 0;
+        std::uint32_t running = 0;  // array tasks of the class
     };
-    std::vector<Learned> learned_;              // by class
-    fleet::Forecast whole_arrivals_;            // tasks that want most of a machine, at once
-    fleet::Forecast pressing_arrivals_;         // those of them that cannot wait for a boot
-    Index whole_type_ = kNone;                  // what the last of them would run on
-    std::size_t spare_wanted_ = 0, spare_ = 0;  // machines that such tasks could have at once
+    std::vector<Learned> learned_;       // by class
+    fleet::Forecast whole_arrivals_;     // tasks that want most of a machine, at once
+    fleet::Forecast pressing_arrivals_;  // those of them that cannot wait for a boot
+    Index whole_type_ = kNone;           // what the last of them would run on
+    std::size_t spare_ = 0;              // machines that such tasks could have at once
     Millis next_consolidation_ = 0;
     struct Hiring {
         Index type, zone;
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -26,6 +26,7 @@
         team_names_.add(t.name);
         team_rules_.push_back(t);
         teams_.emplace_back();
+        guarantees_.push_back(std::make_unique<Guarantee>(t));
     }
     for (const std::string& z : settings.zones) zone_names_.add(z);
     ledger_.begin(term_.number, settings.name);
@@ -106,6 +107,7 @@
         a->token = inherited_token_;
         a->session = UINT64_MAX;
         link_start(*j, *a);
+        a->place = static_cast<std::uint32_t>(j->attempts.size());
         occupy(*a, *j, *m);
         j->attempts.push_back(std::move(a));
     }
@@ -114,7 +116,6 @@
 void Dispatcher::start(Millis now) {
     started_ = true;
     for (auto& [id, job] : jobs_) complete_load(*job, now);
-    for (std::size_t t = 0; t < teams_.size(); ++t) update_guarantees(static_cast<Index>(t));
     tick(now);
 }
 
@@ -140,7 +141,51 @@
         if (named[t] == 0) j.waiting.push_back({t, 0});
     }
     if (j.state == JobState::cancelled) stop_all(j, now);
+    want_places(j);
     maybe_finish(j, now);
+    attend(j, now);
+}
+
+// It joins the list of those that the schedule looks at.
+void Dispatcher::want_places(Job& j) {
+    if (j.queued || j.unstarted() == 0) return;
+    j.queued = true;
+    waiting_.push_back(j.index);
+    dirty_ = true;
+}
+
+// Sets the date by which the job has something to do by itself.
+void Dispatcher::attend(Job& j, Millis now) {
+    Millis at = commit_due(j);
+    if (j.hold_until != 0) at = std::min(at, j.hold_until);
+    bool ending = j.state == JobState::finishing || (j.state == JobState::cancelled && j.live == 0);
+    if (ending && !j.commit_in_flight && j.lent_to == kNone) at = std::min(at, j.retry_commit_at);
+    // Never again in this turn, whatever it comes to.
+    if (at < kNever) job_agenda_.by(j.index, std::max(at, now + 1));
+}
+
+void Dispatcher::tend(Job& j, Millis now) {
+    if (!confirmed_) {
+        job_agenda_.by(j.index, now + kRetryCommit);
+        return;
+    }
+    if (j.hold_until != 0 && now >= j.hold_until) {
+        j.hold_until = 0;
+        dirty_ = true;
+    }
+    if (now >= commit_due(j))
+        commit_job(j, now);
+    else
+        maybe_finish(j, now);
+    attend(j, now);
+}
+
+void Dispatcher::tend_jobs(Millis now) {
+    std::vector<Index> due;
+    for (Index i = job_agenda_.next(now); i != kNone; i = job_agenda_.next(now)) due.push_back(i);
+    for (Index i : due) {
+        if (slots_[i] != nullptr) tend(*slots_[i], now);
+    }
 }
 
 Dispatcher::Job* Dispatcher::find_job(const std::string& id) {
@@ -162,6 +207,7 @@
         j.team = team_names_.add(j.spec.team);
         team_rules_.push_back({j.spec.team});
         teams_.emplace_back();
+        guarantees_.push_back(std::make_unique<Guarantee>(team_rules_.back()));
     }
     j.image = image_names_.add(j.spec.image);
     j.job_class = class_names_.add(j.spec.job_class);
@@ -206,6 +252,8 @@
     if (record.cancelled) {
         j.links.submit(j.cancelled_event);
         set_job_state(j, JobState::cancelled);
+    } else {
+        guarantees_[j.team]->add(j);
     }
     dirty_ = true;
     return &j;
@@ -216,7 +264,7 @@
     Job* j = find_job(record.spec.id);
     if (j == nullptr) {
         j = add_job(record, version, wall_ms, now);
-        update_guarantees(j->team);
+        want_places(*j);
         spdlog::debug("job {} of {}: {} tasks of class {}, image {} of {} GB{}", j->spec.id,
                       j->spec.team, j->spec.tasks, j->spec.job_class, j->spec.image,
                       j->spec.image_gb, j->within_guarantee ? ", within the guarantee" : "");
@@ -234,17 +282,16 @@
     j.links.submit(j.cancelled_event);
     set_job_state(j, JobState::cancelled);
     stop_all(j, now);
-    for (Machine* m : roster_.all()) {
-        if (m->reserved_for == j.index) m->reserved_for = kNone;
-    }
-    update_guarantees(j.team);
+    while (!j.reserved.empty()) drop_reservation(*roster_.at(j.reserved.back()));
     maybe_finish(j, now);
+    attend(j, now);
     dirty_ = true;
 }
 
 void Dispatcher::set_job_state(Job& j, JobState s) {
     spdlog::debug("job {}: {} -> {}", j.spec.id, name(j.state), name(s));
     j.set_state(s);
+    if (s == JobState::cancelled || s == JobState::finished) guarantees_[j.team]->remove(j);
 }
 
 void Dispatcher::maybe_finish(Job& j, Millis now) {
@@ -260,6 +307,7 @@
 void Dispatcher::finish_commit(Job& j, Millis now) {
     if (!confirmed_) {
         j.retry_commit_at = now + kRetryCommit;
+        attend(j, now);
         return;
     }
     bool done = j.state == JobState::finishing;
@@ -290,12 +338,12 @@
                        if (reply.outcome == state::Outcome::ok) {
                            leftovers_.insert(leftovers_.end(), rest.begin(), rest.end());
                            set_job_state(*job, JobState::finished);
-                           update_guarantees(job->team);
                            maybe_drop(id);
                            dirty_ = true;
                            return;
                        }
                        job->retry_commit_at = t + kRetryCommit;
+                       attend(*job, t);
                        if (reply.outcome != state::Outcome::conflict || superseded(reply)) return;
                        // Cancelled meanwhile, applied after all, or another leader: the record
                        // tells.
@@ -305,7 +353,6 @@
                                         if (again == nullptr) return;
                                         if (got.outcome == state::Outcome::missing) {
                                             set_job_state(*again, JobState::finished);
-                                            update_guarantees(again->team);
                                             maybe_drop(id);
                                         } else if (got.outcome == state::Outcome::ok) {
                                             auto record = jobs::read_open(got.item.value);
@@ -321,37 +368,17 @@
     Job* j = find_job(id);
     if (j == nullptr || j->state != JobState::finished || !j->attempts.empty()) return;
     Index slot = j->index;
-    for (Machine* m : roster_.all()) {
-        if (m->reserved_for == slot) m->reserved_for = kNone;
-        std::erase(m->failed_jobs, slot);
+    while (!j->reserved.empty()) drop_reservation(*roster_.at(j->reserved.back()));
+    for (Index i : j->failed_on) {
+        if (Machine* m = roster_.at(i)) std::erase(m->failed_jobs, slot);
     }
+    if (j->queued) std::erase(waiting_, slot);
+    job_agenda_.forget(slot);
     slots_[slot] = nullptr;
     free_slots_.push_back(slot);
     jobs_.erase(id);
 }
 
-// A team's unfinished jobs, in the order of acceptance, as far as they fit into its guarantee.
-void Dispatcher::update_guarantees(Index team) {
-    const wire::Team& rule = team_rules_[team];
-    std::vector<Job*> list;
-    for (auto& [id, j] : jobs_) {
-        if (j->team == team && (j->state == JobState::open || j->state == JobState::finishing)) {
-            list.push_back(j.get());
-        }
-    }
-    std::sort(list.begin(), list.end(), [](const Job* a, const Job* b) {
-        return std::tie(a->accepted_at, a->spec.id) < std::tie(b->accepted_at, b->spec.id);
-    });
-    double cpus = 0, gpus = 0;
-    bool any = rule.cpus > 0 || rule.gpus > 0;
-    for (Job* j : list) {
-        cpus += j->spec.cpus * j->spec.tasks;
-        gpus += j->spec.gpus * j->spec.tasks;
-        j->within_guarantee = any && (rule.cpus <= 0 || cpus <= rule.cpus + placing::kSlack) &&
-                              (rule.gpus <= 0 || gpus <= rule.gpus + placing::kSlack);
-    }
-}
-
 std::vector<state::Condition> Dispatcher::conditions() const {
     std::vector<state::Condition> out{{term_.key, term_.version}};
     if (role_ == Role::holder) out.push_back(held_);
@@ -377,9 +404,7 @@
     Progress p{true, it->second->done, 0};
     if (it->second->lent_to != kNone)
         return {true, it->second->lent_done, it->second->lent_running};
-    for (const auto& a : it->second->attempts) {
-        if (a->state == AttemptState::running || a->state == AttemptState::saving) ++p.running;
-    }
+    p.running = it->second->running;
     return p;
 }
 
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -13,9 +13,23 @@
     if (m.state == s) return;
     spdlog::debug("machine {}: {} -> {}", m.name, workers::name(m.state), workers::name(s));
     m.set_state(s);
+    if (s == MachineState::booting || s == MachineState::joining)
+        coming_.insert(m.index);
+    else
+        coming_.erase(m.index);
+    if (s == MachineState::returning)
+        returning_.insert(m.index);
+    else
+        returning_.erase(m.index);
+    refresh(m);
     dirty_ = true;
 }
 
+void Dispatcher::set_silent(Machine& m, bool silent) {
+    if (silent != m.silent) silent_ += silent ? 1 : -1;
+    m.silent = silent;
+}
+
 // A machine that the book did not have: a late hire, another term's, or one named by a record.
 Dispatcher::Machine* Dispatcher::adopt(const std::string& name, Millis now) {
     if (Machine* known = roster_.find(name)) return known;
@@ -23,6 +37,8 @@
     m->hired_at = now;
     m->heard_at = now;
     m->idle_since = now;
+    coming_.insert(m->index);
+    machine_agenda_.by(m->index, now);
     return m;
 }
 
@@ -41,6 +57,9 @@
     m.cpus_free += types_[m.type].cpus;
     m.gpus_free += types_[m.type].gpus;
     m.memory_free += types_[m.type].memory_gb;
+    if (machines_in_.size() <= m.zone) machines_in_.resize(m.zone + 1);
+    ++machines_in_[m.zone];
+    refresh(m);
 }
 
 // Can a report without the attempt be believed? Not while a start of it may still arrive.
@@ -66,6 +85,7 @@
     m.seen_token = r.token;
     m.heard_at = now;
     if (m.up_at == 0) m.up_at = now;
+    set_silent(m, false);
     if (new_session) spdlog::info("machine {} lost its lease and its tasks", m.name);
 
     std::vector<Attempt*> unseen = m.attempts;
@@ -101,6 +121,7 @@
         }
     }
     join(m, now);
+    poke(m);  // what waited for its token or for a place to come free
 }
 
 void Dispatcher::see(Attempt& a, const wire::TaskReport& t, Machine& m, Millis now) {
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -8,12 +8,15 @@
 namespace nickelramp::dispatch {
 
 using jobs::JobState;
-using placing::Need;
 using wire::Priority;
 
 namespace {
-constexpr Millis kPassGap = 20;          // news gathers this long
-constexpr Millis kReservation = 12'000;  // beyond the time to save
+constexpr Millis kPassGap = 20;             // news gathers this long
+constexpr Millis kReservation = 12'000;     // beyond the time to save
+constexpr Millis kSupplyGap = 250;          // a boot takes far longer
+constexpr Millis kMakeRoomGap = 500;        // for one job
+constexpr std::size_t kMostLooked = 300;    // machines of a kind, for one job in one pass
+constexpr std::size_t kMostSearched = 300;  // machines, for work that may be stopped
 }  // namespace
 
 // Type, zone, kind and trust; not how much is free.
@@ -45,11 +48,16 @@
 // Production first, then what a team is owed, then the rest; by priority and arrival within.
 std::vector<Dispatcher::Job*> Dispatcher::queue(Millis now) {
     std::vector<Job*> out;
-    for (auto& [id, j] : jobs_) {
-        if (j->state == JobState::open && j->unstarted() > 0 && now >= j->hold_until) {
-            out.push_back(j.get());
+    std::erase_if(waiting_, [&](Index i) {
+        Job* j = slots_[i];
+        if (j->unstarted() == 0) {
+            j->queued = false;
+            j->starved_since = 0;
+            return true;
         }
-    }
+        if (now >= j->hold_until) out.push_back(j);
+        return false;
+    });
     auto rank = [](const Job* j) {
         if (j->spec.priority == Priority::production) return 0;
         int p = 3 - static_cast<int>(j->spec.priority);
@@ -95,25 +103,31 @@
 void Dispatcher::schedule(Millis now) {
     if (!started_ || deposed_) return;
     dirty_ = false;
-    next_pass_ = now + kPassGap;
+    tend_jobs(now);
+    // A long queue is looked through less often.
+    next_pass_ = now + kPassGap + static_cast<Millis>(waiting_.size() / 4);
     std::vector<Job*> unplaced;
     for (Job* j : queue(now)) {
-        if (confirmed_ && !lend_job(*j, now)) try_job(*j, now);
+        if (confirmed_ && !lend_job(*j, now)) {
+            try_job(*j, now);
+            if (now >= commit_due(*j))
+                commit_job(*j, now);
+            else
+                attend(*j, now);
+        }
         if (j->unstarted() > 0) {
             if (j->starved_since == 0) j->starved_since = now;
             unplaced.push_back(j);
-        } else {
-            j->starved_since = 0;
         }
     }
-    if (confirmed_) {
-        for (auto& [id, j] : jobs_) {
-            if (needs_commit(*j, now)) commit_job(*j, now);
-        }
-        if (role_ == Role::leader) {
-            starving_ = !unplaced.empty();
-            check_leases(now);
+    if (confirmed_ && role_ == Role::leader) {
+        starving_ = !unplaced.empty();
+        check_leases(now);
+        if (now >= next_supply_) {
+            next_supply_ = now + kSupplyGap;
             plan_supply(unplaced, now);
+        } else if (starving_) {
+            dirty_ = true;
         }
     }
     flush_poked(now);
@@ -128,46 +142,76 @@
     return placed;
 }
 
+// May a task of it start there now?
+bool Dispatcher::may_get(const Job& j, const Machine& m, const Need& need, Millis now) const {
+    if (!m.usable() || !allowed(j, m) || now < m.probation_until) return false;
+    if (m.reserved_for != kNone && m.reserved_for != j.index && now < m.reserved_until)
+        return false;
+    return placing::covers(m.cpus_free, m.gpus_free, m.memory_free, need);
+}
+
+// The machines that a task of it may start on now; of very many, some.
+std::vector<Dispatcher::Machine*> Dispatcher::fitting(const Job& j, const Need& need, Millis now) {
+    std::vector<Machine*> out;
+    std::size_t looked = 0;
+    openings_.each(
+        need,
+        [&](const placing::Openings::Kind& kind) {
+            looked = 0;
+            return (j.spec.spot || !kind.spot) && (j.zone == kNone || j.zone == kind.zone);
+        },
+        [&](Index i) {
+            Machine* m = roster_.at(i);
+            if (may_get(j, *m, need, now)) out.push_back(m);
+            return ++looked < kMostLooked;
+        });
+    return out;
+}
+
 // Arrays and services: one task after the other.
 bool Dispatcher::place_some(Job& j, Millis now) {
     Need need = placing::need_of(j);
     std::vector<std::uint32_t> in_zone(zone_names_.size());
     Index only_zone = kNone;
-    for (const auto& a : j.attempts) {
-        if (!a->live()) continue;
-        Machine* m = machine_of(*a);
-        if (m == nullptr || m->zone == kNone) {
+    if (j.spec.one_zone || j.spec.spread) {
+        for (const auto& a : j.attempts) {
+            if (!a->live()) continue;
+            Machine* m = machine_of(*a);
             // One of its tasks may be on a machine whose zone is not known yet.
-            if (j.spec.one_zone || j.spec.spread) return false;
-            continue;
+            if (m == nullptr || m->zone == kNone) return false;
+            ++in_zone[m->zone];
+            only_zone = m->zone;
         }
-        ++in_zone[m->zone];
-        only_zone = m->zone;
     }
     const std::uint32_t half = (j.spec.tasks + 1) / 2;
-    while (j.unstarted() > 0 && within_limit(j, 1)) {
-        Machine* best = nullptr;
-        double best_cost = 0;
-        for (Machine* m : roster_.all()) {
-            if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
-            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until)
-                continue;
-            if (now < m->closed_until) continue;
-            if (!placing::covers(m->cpus_free, m->gpus_free, m->memory_free, need)) continue;
-            if (j.spec.one_zone && only_zone != kNone && m->zone != only_zone) continue;
-            if (j.spec.spread && in_zone[m->zone] >= half) continue;
-            double c = placing::cost(j, *m, types_[m->type]);
-            if (m->reserved_for == j.index) c -= 30;
-            if (!j.failed_on.empty() &&
-                std::find(j.failed_on.begin(), j.failed_on.end(), m->index) != j.failed_on.end()) {
-                c += 60;
-            }
-            if (best == nullptr || c < best_cost) {
-                best = m;
-                best_cost = c;
-            }
+    struct Choice {
+        double cost;
+        Machine* machine;
+        bool operator<(const Choice& o) const {  // the cheapest comes first off a heap
+            return std::tie(cost, machine->index) > std::tie(o.cost, o.machine->index);
+        }
+    };
+    auto rated = [&](Machine* m) {
+        double c = placing::cost(j, *m, types_[m->type]);
+        if (m->reserved_for == j.index) c -= 30;
+        if (std::find(j.failed_on.begin(), j.failed_on.end(), m->index) != j.failed_on.end()) {
+            c += 60;
         }
-        if (best == nullptr) return false;
+        return Choice{c, m};
+    };
+    std::vector<Choice> heap;
+    if (within_limit(j, 1)) {
+        for (Machine* m : fitting(j, need, now)) {
+            if (now >= m->closed_until) heap.push_back(rated(m));
+        }
+    }
+    std::make_heap(heap.begin(), heap.end());
+    while (!heap.empty() && j.unstarted() > 0 && within_limit(j, 1)) {
+        std::pop_heap(heap.begin(), heap.end());
+        Machine* m = heap.back().machine;
+        heap.pop_back();
+        if (j.spec.one_zone && only_zone != kNone && m->zone != only_zone) continue;
+        if (j.spec.spread && in_zone[m->zone] >= half) continue;
         std::uint32_t task, number;
         if (!j.waiting.empty()) {
             task = j.waiting.back().task;
@@ -176,13 +220,17 @@
             task = j.next_fresh;
             number = 1;
         }
-        if (place(j, task, number, *best, now) == nullptr) return false;
+        if (place(j, task, number, *m, now) == nullptr) return false;
         if (!j.waiting.empty())
             j.waiting.pop_back();
         else
             ++j.next_fresh;
-        ++in_zone[best->zone];
-        only_zone = best->zone;
+        ++in_zone[m->zone];
+        only_zone = m->zone;
+        if (placing::covers(m->cpus_free, m->gpus_free, m->memory_free, need)) {
+            heap.push_back(rated(m));
+            std::push_heap(heap.begin(), heap.end());
+        }
     }
     return j.unstarted() == 0;
 }
@@ -196,34 +244,31 @@
         std::uint32_t room;
         double cost;
     };
+    std::vector<Choice> options;
+    for (Machine* m : fitting(j, need, now)) {
+        std::uint32_t room =
+            placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, j.spec.tasks);
+        double c = placing::cost(j, *m, types_[m->type]);
+        if (m->reserved_for == j.index) c -= 30;
+        options.push_back({m, room, c});
+    }
+    std::sort(options.begin(), options.end(), [](const Choice& a, const Choice& b) {
+        return std::tie(a.cost, a.machine->index) < std::tie(b.cost, b.machine->index);
+    });
     std::vector<Choice> best;
     double best_cost = 0;
     const std::uint32_t half = (j.spec.tasks + 1) / 2;
     const Index zones = static_cast<Index>(zone_names_.size());
-    for (Index z = 0; z <= zones; ++z) {
+    for (Index z = 0; z <= zones && !options.empty(); ++z) {
         // Each zone alone; all zones together only for gangs that may be split.
         if (z == zones && j.spec.one_zone) break;
         if (z < zones && j.spec.spread && j.spec.tasks > 1) continue;
-        std::vector<Choice> options;
-        for (Machine* m : roster_.all()) {
-            if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
-            if (z < zones && m->zone != z) continue;
-            if (m->reserved_for != kNone && m->reserved_for != j.index && now < m->reserved_until)
-                continue;
-            std::uint32_t room =
-                placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, j.spec.tasks);
-            if (room == 0) continue;
-            double c = placing::cost(j, *m, types_[m->type]);
-            if (m->reserved_for == j.index) c -= 30;
-            options.push_back({m, room, c});
-        }
-        std::sort(options.begin(), options.end(),
-                  [](const Choice& a, const Choice& b) { return a.cost < b.cost; });
         std::vector<Choice> chosen;
         std::vector<std::uint32_t> in_zone(zones);
         std::uint32_t left = j.spec.tasks;
         double worst = 0;
         for (const Choice& o : options) {
+            if (z < zones && o.machine->zone != z) continue;
             std::uint32_t k = std::min(o.room, left);
             if (j.spec.spread) k = std::min(k, half - std::min(half, in_zone[o.machine->zone]));
             if (k == 0) continue;
@@ -251,9 +296,7 @@
             }
         }
     }
-    for (Machine* m : roster_.all()) {
-        if (m->reserved_for == j.index) m->reserved_for = kNone;
-    }
+    while (!j.reserved.empty()) drop_reservation(*roster_.at(j.reserved.back()));
     return true;
 }
 
@@ -268,11 +311,37 @@
     return used.gpus > rule.gpus + placing::kSlack || (rule.gpus <= 0 && used.cpus > rule.cpus);
 }
 
-// Stops the least valuable work on as many machines as the job needs, and keeps them for it.
+// Stops the least valuable work on as many machines as the job needs, and keeps them for it. Of
+// many machines it looks at some, and the next time at others.
 bool Dispatcher::make_room(Job& j, std::uint32_t tasks, Millis now) {
     if (j.spec.priority < Priority::high && !j.within_guarantee) return false;
+    if (now < j.make_room_at) return false;
+    j.make_room_at = now + kMakeRoomGap;
     Need need = placing::need_of(j);
+    struct Room {
+        double cpus, gpus, memory_gb;
+        void add(const Job& v) {
+            cpus += v.spec.cpus;
+            gpus += v.spec.gpus;
+            memory_gb += v.spec.memory_gb;
+        }
+    };
+    // What is free, or will be when those have gone that were told to.
+    auto room_of = [&](const Machine& m) {
+        Room r{m.cpus_free, m.gpus_free, m.memory_free};
+        for (Attempt* a : m.attempts) {
+            if (a->live() && a->must_go) r.add(job_of(*a));
+        }
+        return r;
+    };
     std::uint32_t coming = 0;  // room that is being made already
+    for (Index i : j.reserved) {
+        Machine& m = *roster_.at(i);
+        if (!m.usable() || now >= m.reserved_until) continue;
+        Room r = room_of(m);
+        coming += placing::how_many(r.cpus, r.gpus, r.memory_gb, need, tasks);
+    }
+    if (coming >= tasks) return true;
     struct Plan {
         Machine* machine;
         std::vector<Attempt*> victims;
@@ -282,37 +351,23 @@
     std::vector<Plan> plans;
     const Millis boot = types_.empty() ? 0 : seconds(types_.front().boot_s);
     Index fixed_zone = kNone;
-    for (const auto& a : j.attempts) {
-        if (Machine* m = machine_of(*a); m != nullptr && a->live()) fixed_zone = m->zone;
+    if (j.spec.one_zone) {
+        for (const auto& a : j.attempts) {
+            if (Machine* m = machine_of(*a); m != nullptr && a->live()) fixed_zone = m->zone;
+        }
     }
-    for (Machine* m : roster_.all()) {
+    const auto& all = roster_.all();
+    const std::size_t looks = std::min(all.size(), kMostSearched);
+    for (std::size_t k = 0; k < looks; ++k) {
+        Machine* m = all[(sought_from_ + k) % all.size()];
         if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
-        if (j.spec.one_zone && fixed_zone != kNone && m->zone != fixed_zone) continue;
-        if (m->reserved_for != kNone && now < m->reserved_until) {
-            if (m->reserved_for != j.index) continue;
-            double c = m->cpus_free, g = m->gpus_free, mem = m->memory_free;
-            for (Attempt* a : m->attempts) {
-                if (!a->live() || !a->must_go) continue;
-                const Job& v = job_of(*a);
-                c += v.spec.cpus;
-                g += v.spec.gpus;
-                mem += v.spec.memory_gb;
-            }
-            coming += placing::how_many(c, g, mem, need, tasks);
-            continue;
-        }
-        double c = m->cpus_free, g = m->gpus_free, mem = m->memory_free;
+        if (fixed_zone != kNone && m->zone != fixed_zone) continue;
+        if (m->reserved_for != kNone && now < m->reserved_until) continue;
+        Room free = room_of(*m);
         std::vector<std::pair<double, Attempt*>> evictable;
         for (Attempt* a : m->attempts) {
-            if (!a->live()) continue;
+            if (!a->live() || a->must_go || !may_evict(*a, j)) continue;
             const Job& v = job_of(*a);
-            if (a->must_go) {
-                c += v.spec.cpus;
-                g += v.spec.gpus;
-                mem += v.spec.memory_gb;
-                continue;
-            }
-            if (!may_evict(*a, j)) continue;
             // Ending a gang throws more away than a wait for the next machine costs.
             if (v.gang() && (j.starved_since == 0 || now - j.starved_since < boot)) continue;
             double lost = v.gang() ? 40.0 * v.spec.tasks : 0;
@@ -326,21 +381,21 @@
                   [](const auto& a, const auto& b) { return a.first < b.first; });
         Plan plan{m, {}, 0, placing::cost(j, *m, types_[m->type])};
         std::uint32_t wanted = j.gang() ? 1 : tasks;
+        auto holds = [&] {
+            return placing::how_many(free.cpus, free.gpus, free.memory_gb, need, wanted);
+        };
         for (const auto& [lost, a] : evictable) {
-            if (placing::how_many(c, g, mem, need, wanted) >= wanted) break;
-            const Job& v = job_of(*a);
-            c += v.spec.cpus;
-            g += v.spec.gpus;
-            mem += v.spec.memory_gb;
+            if (holds() >= wanted) break;
+            free.add(job_of(*a));
             plan.victims.push_back(a);
             plan.cost += lost;
         }
-        plan.room = placing::how_many(c, g, mem, need, tasks);
+        plan.room = placing::how_many(free.cpus, free.gpus, free.memory_gb, need, tasks);
         if (plan.room == 0) continue;
         plan.cost /= plan.room;
         plans.push_back(std::move(plan));
     }
-    if (coming >= tasks) return true;
+    sought_from_ += looks;
     std::uint32_t left = tasks - coming;
     std::sort(plans.begin(), plans.end(),
               [](const Plan& a, const Plan& b) { return a.cost < b.cost; });
@@ -370,8 +425,7 @@
     for (const Plan& p : plans) {
         if (left == 0) break;
         left -= std::min(left, p.room);
-        p.machine->reserved_for = j.index;
-        p.machine->reserved_until = now + kReservation;
+        reserve(*p.machine, j, now + kReservation);
         for (Attempt* a : p.victims) {
             // Ending one member of a gang may have ended others of the list.
             auto& there = p.machine->attempts;
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -22,6 +22,7 @@
 constexpr Millis kLease = 4'000;
 constexpr std::uint64_t kServed = 8'000;  // by the state service, so lately
 constexpr Millis kIdleLease = 8'000;
+constexpr Millis kShareEvery = 500;
 constexpr std::size_t kMostJobs = 40;  // lent with one block
 
 // Sets room aside for as many of the tasks left as fit.
@@ -50,19 +51,28 @@
 // Lends each healthy peer a block of empty machines of one zone.
 void Dispatcher::share_machines(Millis now) {
     const auto share = static_cast<std::size_t>(options_.lent_machines);
-    if (share == 0 || !confirmed_ || blocks_in_flight_ || starving_) return;
+    if (share == 0 || !confirmed_ || blocks_in_flight_ || starving_ || now < next_share_) return;
+    next_share_ = now + kShareEvery;
+    const std::size_t enough = spare_wanted(now) + share;
     for (const auto& [name, peer] : peers_) {
         if (!peer.healthy || now - peer.heard_at > peers::kPeerFresh) continue;
         bool has = std::any_of(leases_.begin(), leases_.end(),
                                [&](const auto& l) { return l.second.holder == name; });
         if (has) continue;
         std::map<Index, std::vector<Machine*>> by_zone;
-        for (Machine* m : roster_.all()) {
-            if (m->usable() && m->attempts.empty() && m->granted && m->reserved_for == kNone &&
-                !m->direct_in_flight && (m->spot || spare_ > spare_wanted_ + share) &&
-                now >= m->probation_until && m->confirmed()) {
-                by_zone[m->zone].push_back(m);
-            }
+        for (const wire::MachineType& t : types_) {
+            openings_.each(
+                {t.cpus, t.gpus, t.memory_gb},
+                [&](const auto& kind) { return types_[kind.type].name == t.name; },
+                [&](Index i) {
+                    Machine* m = roster_.at(i);
+                    if (m->attempts.empty() && m->granted && m->reserved_for == kNone &&
+                        !m->direct_in_flight && (m->spot || spare_ > enough) &&
+                        now >= m->probation_until && m->confirmed()) {
+                        by_zone[m->zone].push_back(m);
+                    }
+                    return by_zone[m->zone].size() < share;
+                });
         }
         for (auto& [zone, list] : by_zone) {
             if (list.size() < share) continue;
@@ -171,7 +181,6 @@
     if (j == nullptr || j->lent_to == kNone) return;
     job_left(*j);
     set_job_state(*j, JobState::finished);
-    update_guarantees(j->team);
     maybe_drop(id);
 }
 
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -8,8 +8,6 @@
 
 namespace nickelramp::dispatch {
 
-using placing::Need;
-
 namespace {
 constexpr Millis kFirstBlock = 5'000;
 constexpr Millis kMostBlock = 20'000;
@@ -19,6 +17,10 @@
 constexpr Millis kSettled = 31'000;       // replicas that have run so long may be moved
 constexpr Millis kClosed = 30'000;        // a machine that is being emptied takes nothing new
 constexpr Millis kConsolidateEvery = 3'000;
+constexpr std::size_t kMostFresh = 400;   // machines to ask for in one go
+constexpr std::size_t kMostEmptied = 16;  // machines looked at for emptying in one go
+constexpr Millis kWatchBusy = 1'000;      // a machine that does well is looked at so often
+constexpr Millis kWatchOther = 200;
 constexpr double kLate = 1.7;      // boots beyond this many boot times no longer count
 constexpr double kHopeless = 4.0;  // and beyond this they are given back
 }  // namespace
@@ -30,26 +32,53 @@
         Index type, zone;
         bool spot;
         double cpus, gpus, memory_gb;
-        bool fresh;
     };
     std::vector<Bin> bins;
-    for (Machine* m : roster_.all()) {
-        if (m->state != MachineState::booting && m->state != MachineState::joining) continue;
-        if (m->type == kNone) continue;
-        const wire::MachineType& t = types_[m->type];
-        if (m->state == MachineState::booting && now - m->hired_at > seconds(t.boot_s * kLate))
-            continue;
-        bins.push_back({m->type, m->zone, m->spot, t.cpus, t.gpus, t.memory_gb, false});
+    std::size_t whole_coming = 0;  // ordinary machines that nothing is packed onto yet
+    auto add_bin = [&](Index type, Index zone, bool spot) {
+        const wire::MachineType& t = types_[type];
+        bins.push_back({type, zone, spot, t.cpus, t.gpus, t.memory_gb});
+    };
+    for (Index i : coming_) {
+        const Machine& m = *roster_.at(i);
+        if (m.type == kNone) continue;
+        bool late = now - m.hired_at > seconds(types_[m.type].boot_s * kLate);
+        if (m.state == MachineState::joining || !late) add_bin(m.type, m.zone, m.spot);
     }
     for (const auto& [name, h] : hiring_) {
-        const wire::MachineType& t = types_[h.type];
-        for (std::uint32_t i = 0; i < h.count; ++i) {
-            bins.push_back({h.type, h.zone, h.spot, t.cpus, t.gpus, t.memory_gb, false});
-        }
+        for (std::uint32_t i = 0; i < h.count; ++i) add_bin(h.type, h.zone, h.spot);
     }
     std::map<std::tuple<Index, Index, bool>, std::uint32_t> wanted;
+    std::vector<std::uint32_t> there = machines_in_;
+    there.resize(zone_names_.size());
+    // The cheapest kind that the cloud has not just refused.
+    auto cheapest = [&](const Job& j, const Need& need, Index zone, auto zone_ok) {
+        double least = 0;
+        std::optional<std::tuple<Index, Index, bool>> kind;
+        for (Index t = 0; t < types_.size() && t < j.allowed_type.size(); ++t) {
+            const wire::MachineType& type = types_[t];
+            double fits = placing::how_many(type.cpus, type.gpus, type.memory_gb, need, 64);
+            if (j.allowed_type[t] == 0 || fits == 0) continue;
+            for (const std::string& zone_name : type.zones) {
+                Index z = zone_names_.find(zone_name);
+                if ((zone != kNone && z != zone) || !zone_ok(z)) continue;
+                for (bool spot : {true, false}) {
+                    if (spot && (!j.spec.spot || options_.use_spot == 0)) continue;
+                    auto it = offers_.find({t, z, spot});
+                    if (it != offers_.end() && now < it->second.blocked_until) continue;
+                    double price = (spot ? type.spot_price : type.price) / fits;
+                    price *= 1.0 + 0.001 * there[z];  // keep zones even
+                    if (!kind || price < least) {
+                        kind = {t, z, spot};
+                        least = price;
+                    }
+                }
+            }
+        }
+        return kind;
+    };
     std::size_t fresh = 0;
-    std::uint32_t soon_free = places_soon_free(now);
+    std::uint32_t soon_free = places_soon_free();
     for (Job* j : unplaced) {
         Need need = placing::need_of(*j);
         std::uint32_t tasks = std::min(j->unstarted(), room_in_limit(*j));
@@ -60,99 +89,72 @@
             tasks -= k;
         }
         Index zone = j->zone;
-        // Gangs of one zone are packed into the zone that already has most room coming.
         std::vector<std::uint32_t> in_zone(zone_names_.size());
         const std::uint32_t half = (j->spec.tasks + 1) / 2;
-        for (const auto& a : j->attempts) {
-            Machine* m = machine_of(*a);
-            if (!a->live() || m == nullptr || m->zone == kNone) continue;
-            ++in_zone[m->zone];
-            if (j->spec.one_zone) zone = m->zone;
+        auto zone_ok = [&](Index z) { return !j->spec.spread || in_zone[z] < half; };
+        if (j->spec.one_zone || j->spec.spread) {
+            for (const auto& a : j->attempts) {
+                Machine* m = machine_of(*a);
+                if (!a->live() || m == nullptr || m->zone == kNone) continue;
+                ++in_zone[m->zone];
+                if (j->spec.one_zone) zone = m->zone;
+            }
         }
+        // Gangs of one zone are packed into the zone that already has most room coming.
         if (j->gang() && j->spec.one_zone && zone == kNone && j->spec.tasks > 1) {
             std::vector<std::uint32_t> room(zone_names_.size());
             for (const Bin& b : bins) {
                 room[b.zone] += placing::how_many(b.cpus, b.gpus, b.memory_gb, need, tasks);
             }
-            for (Machine* m : roster_.all()) {
-                if (m->usable() && allowed(*j, *m)) {
-                    room[m->zone] +=
-                        placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, tasks);
-                }
+            for (Machine* m : fitting(*j, need, now)) {
+                room[m->zone] +=
+                    placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, tasks);
             }
             auto most = std::max_element(room.begin(), room.end());
             if (*most > 0) zone = static_cast<Index>(most - room.begin());
         }
-        while (tasks > 0 && fresh < 100) {
-            Bin* bin = nullptr;
-            for (Bin& b : bins) {
-                if (j->allowed_type.size() <= b.type || j->allowed_type[b.type] == 0) continue;
-                if (zone != kNone && b.zone != zone) continue;
-                if (b.spot && !j->spec.spot) continue;
-                if (j->spec.spread && in_zone[b.zone] >= half) continue;
-                if (!placing::covers(b.cpus, b.gpus, b.memory_gb, need)) continue;
-                bin = &b;
-                break;
-            }
-            if (bin == nullptr) {
-                // The cheapest kind that the cloud has not just refused.
-                double least = 0;
-                std::optional<std::tuple<Index, Index, bool>> kind;
-                for (Index t = 0; t < types_.size() && t < j->allowed_type.size(); ++t) {
-                    const wire::MachineType& type = types_[t];
-                    if (j->allowed_type[t] == 0) continue;
-                    if (!placing::covers(type.cpus, type.gpus, type.memory_gb, need)) continue;
-                    for (const std::string& zone_name : type.zones) {
-                        Index z = zone_names_.find(zone_name);
-                        if (zone != kNone && z != zone) continue;
-                        if (j->spec.spread && in_zone[z] >= half) continue;
-                        for (bool spot : {true, false}) {
-                            if (spot && (!j->spec.spot || options_.use_spot == 0)) continue;
-                            auto it = offers_.find({t, z, spot});
-                            if (it != offers_.end() && now < it->second.blocked_until) continue;
-                            double fits =
-                                placing::how_many(type.cpus, type.gpus, type.memory_gb, need, 64);
-                            std::size_t there = 0;
-                            for (Machine* m : roster_.all()) there += m->zone == z ? 1 : 0;
-                            for (const auto& [k, n] : wanted) there += std::get<1>(k) == z ? n : 0;
-                            double price =
-                                (spot ? type.spot_price : type.price) / std::max(1.0, fits);
-                            price *= 1.0 + 0.001 * static_cast<double>(there);  // keep zones even
-                            if (!kind || price < least) {
-                                kind = {t, z, spot};
-                                least = price;
-                            }
-                        }
-                    }
-                }
-                if (!kind) break;
-                auto [t, z, spot] = *kind;
-                const wire::MachineType& type = types_[t];
-                bins.push_back({t, z, spot, type.cpus, type.gpus, type.memory_gb, true});
-                bin = &bins.back();
-                ++wanted[*kind];
-                ++fresh;
-                if (j->gang() && j->spec.one_zone) zone = z;
-            }
-            bin->cpus -= need.cpus;
-            bin->gpus -= need.gpus;
-            bin->memory_gb -= need.memory_gb;
-            ++in_zone[bin->zone];
-            if (j->spec.one_zone) zone = bin->zone;
-            --tasks;
+        auto pack = [&](Bin& b) {
+            if (j->allowed_type.size() <= b.type || j->allowed_type[b.type] == 0) return;
+            if ((zone != kNone && b.zone != zone) || !zone_ok(b.zone)) return;
+            if (b.spot && !j->spec.spot) return;
+            std::uint32_t k = placing::how_many(b.cpus, b.gpus, b.memory_gb, need, tasks);
+            if (j->spec.spread) k = std::min(k, half - in_zone[b.zone]);
+            if (k == 0) return;
+            b.cpus -= k * need.cpus;
+            b.gpus -= k * need.gpus;
+            b.memory_gb -= k * need.memory_gb;
+            in_zone[b.zone] += k;
+            if (j->spec.one_zone) zone = b.zone;
+            tasks -= k;
+        };
+        for (Bin& b : bins) {
+            if (tasks == 0) break;
+            pack(b);
+        }
+        while (tasks > 0 && fresh < kMostFresh) {
+            auto kind = cheapest(*j, need, zone, zone_ok);
+            if (!kind) break;
+            auto [t, z, spot] = *kind;
+            add_bin(t, z, spot);
+            ++wanted[*kind];
+            ++there[z];
+            ++fresh;
+            pack(bins.back());
         }
+        std::erase_if(bins, [&](const Bin& b) {
+            return b.cpus <= placing::kSlack ||
+                   (types_[b.type].gpus > 0 && b.gpus <= placing::kSlack);
+        });
+    }
+    for (const Bin& b : bins) {
+        const wire::MachineType& t = types_[b.type];
+        if (!b.spot && b.gpus >= t.gpus && b.cpus >= t.cpus) ++whole_coming;
     }
     // Machines for gangs that are likely to come before another could boot.
     if (whole_type_ != kNone) {
         double likely =
             pressing_arrivals_.within(types_[whole_type_].boot_s * options_.hire_boots, now);
-        std::size_t ready = spare_;
-        for (const Bin& b : bins) {
-            const wire::MachineType& t = types_[b.type];
-            if (!b.spot && b.gpus >= t.gpus && b.cpus >= t.cpus) ++ready;
-        }
-        std::map<Index, std::size_t> in_zone;
-        for (Machine* m : roster_.all()) ++in_zone[m->zone];
+        std::size_t ready = spare_ + whole_coming;
         for (auto lacking = static_cast<std::size_t>(std::floor(likely)); lacking > ready;
              --lacking) {
             std::optional<Index> best;
@@ -160,11 +162,11 @@
                 Index z = zone_names_.find(name);
                 auto it = offers_.find({whole_type_, z, false});
                 if (it != offers_.end() && now < it->second.blocked_until) continue;
-                if (!best || in_zone[z] < in_zone[*best]) best = z;
+                if (!best || there[z] < there[*best]) best = z;
             }
             if (!best) break;
             ++wanted[{whole_type_, *best, false}];
-            ++in_zone[*best];
+            ++there[*best];
         }
     }
     for (const auto& [kind, n] : wanted) {
@@ -175,21 +177,16 @@
 
 // A machine hired now is of use after its boot. Places that running array tasks leave before then
 // serve the queue as early, and cost nothing.
-std::uint32_t Dispatcher::places_soon_free(Millis now) const {
+std::uint32_t Dispatcher::places_soon_free() const {
     double boot_s = 0;
     for (const wire::MachineType& t : types_) {
         if (boot_s == 0 || t.boot_s < boot_s) boot_s = t.boot_s;
     }
     double places = 0;
-    for (const auto& [id, j] : jobs_) {
-        if (j->spec.shape != wire::Shape::array || j->state != jobs::JobState::open) continue;
-        double run_s = std::max(1.0, expected_run_s(*j));
-        for (const auto& a : j->attempts) {
-            if (!a->live() || a->running_since == 0) continue;
-            double left_s =
-                std::max(0.0, run_s - static_cast<double>(now - a->running_since) / 1000.0);
-            if (left_s < boot_s) places += 1;
-        }
+    for (const Learned& l : learned_) {
+        if (l.weight <= 0) continue;
+        double run_s = std::max(1.0, l.ran_s / l.weight);
+        places += l.running * std::min(1.0, boot_s / run_s);
     }
     return static_cast<std::uint32_t>(places);
 }
@@ -204,6 +201,7 @@
 void Dispatcher::learn_run(const Job& j, const Attempt& a, Millis now) {
     if (a.running_since == 0 || a.number != 1 || j.spec.estimate_s <= 0) return;
     Learned& l = learned_[j.job_class];
+    l.weight = l.weight * 0.97 + 1;
     l.ran_s = l.ran_s * 0.97 + static_cast<double>(now - a.running_since) / 1000.0;
     l.guessed_s = l.guessed_s * 0.97 + j.spec.estimate_s;
 }
@@ -290,30 +288,19 @@
     return true;
 }
 
-// Machines that a gang could have within seconds: empty, or with nothing but arrays on them.
-void Dispatcher::count_spare(Millis now) {
-    double boot_s = 60;
-    if (!types_.empty()) boot_s = types_.front().boot_s;
-    spare_wanted_ = static_cast<std::size_t>(
+// How many whole ordinary machines should be there for tasks that take one each.
+std::size_t Dispatcher::spare_wanted(Millis now) {
+    double boot_s = types_.empty() ? 60 : types_.front().boot_s;
+    return static_cast<std::size_t>(
         std::ceil(whole_arrivals_.within(boot_s * options_.spare_boots, now)));
-    spare_ = 0;
-    for (Machine* m : roster_.all()) {
-        if (!m->usable() || m->spot) continue;
-        spare_ += std::all_of(m->attempts.begin(), m->attempts.end(),
-                              [&](const Attempt* a) {
-                                  return !a->live() || job_of(*a).spec.shape == wire::Shape::array;
-                              })
-                      ? 1
-                      : 0;
-    }
 }
 
 // A spot machine is cheap to keep. An ordinary one stays while it may be needed before another
 // boots.
-Millis Dispatcher::idle_keep(const Machine& m) const {
+Millis Dispatcher::idle_keep(const Machine& m, Millis now) {
     double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
     if (m.spot) return seconds(2 * boot);
-    return spare_ > spare_wanted_ ? seconds(kIdleSurplus) : seconds(20 * boot);
+    return spare_ > spare_wanted(now) ? seconds(kIdleSurplus) : seconds(20 * boot);
 }
 
 // Can all replicas on this machine go on elsewhere at once? Then they do: with the image there, a
@@ -327,9 +314,8 @@
         if (!j.service() || a->state != AttemptState::running || a->must_go) return false;
         if (now - a->running_since < kSettled || j.spec.one_zone) return false;
         Machine* best = nullptr;
-        for (Machine* m : roster_.all()) {
-            if (m == &from || !m->usable() || !allowed(j, *m) || m->empty()) continue;
-            if (now < m->probation_until || m->reserved_for != kNone) continue;
+        for (Machine* m : fitting(j, placing::need_of(j), now)) {
+            if (m == &from || m->empty() || m->reserved_for != kNone) continue;
             if (j.spec.spread && j.spec.tasks > 1 && m->zone != from.zone) continue;
             if (m->gpus_free > from.gpus_free + placing::kSlack) continue;  // only to fuller ones
             Need& t = taken[m];
@@ -357,90 +343,92 @@
 void Dispatcher::consolidate(Millis now) {
     if (now < next_consolidation_ || !confirmed_) return;
     next_consolidation_ = now + kConsolidateEvery;
-    for (auto& [id, j] : jobs_) {
-        if (j->service() && j->unstarted() > 0) return;
+    for (Index i : waiting_) {
+        if (slots_[i]->service() && slots_[i]->unstarted() > 0) return;
     }
     std::vector<Machine*> list;
-    for (Machine* m : roster_.all()) {
-        if (m->usable() && !m->empty() && m->reserved_for == kNone) list.push_back(m);
-    }
+    openings_.each(
+        {}, [](const auto& kind) { return !kind.spot; },
+        [&](Index i) {
+            Machine* m = roster_.at(i);
+            if (!m->empty() && m->reserved_for == kNone) list.push_back(m);
+            return true;
+        });
     std::sort(list.begin(), list.end(), [](const Machine* a, const Machine* b) {
         return std::tie(a->gpus_free, a->cpus_free) > std::tie(b->gpus_free, b->cpus_free);
     });
+    if (list.size() > kMostEmptied) list.resize(kMostEmptied);
     for (Machine* m : list) {
         if (move_replicas(*m, now)) return;  // one at a time
     }
 }
 
-bool Dispatcher::cut_off(Millis now) const {
-    std::size_t up = 0, silent = 0;
-    for (const Machine* m : roster_.all()) {
-        if (m->state == MachineState::booting || m->state == MachineState::lent || m->up_at == 0)
-            continue;
-        ++up;
-        if (now - m->heard_at > seconds(2.5 * settings_.report_s)) ++silent;
+void Dispatcher::watch_machines(Millis now) {
+    std::vector<Index> due;
+    for (Index i = machine_agenda_.next(now); i != kNone; i = machine_agenda_.next(now)) {
+        due.push_back(i);
+    }
+    for (Index i : due) {
+        if (Machine* m = roster_.at(i)) watch_machine(*m, now);
     }
-    return up >= 3 && silent * 2 > up;
+    send_returns(now);
 }
 
-void Dispatcher::watch_machines(Millis now) {
+// What time does to a machine: it is late, silent, idle, or its lease is over.
+void Dispatcher::watch_machine(Machine& m, Millis now) {
     const Millis probe_after = seconds(1.6 * settings_.report_s);
     const Millis give_up = seconds(3 * settings_.report_s);
-    const bool blind = cut_off(now);
-    std::vector<Machine*> list = roster_.all();
-    for (Machine* m : list) {
-        if (m->state == MachineState::lent) continue;
-        if (m->reserved_for != kNone && now >= m->reserved_until) {
-            m->reserved_for = kNone;
-            dirty_ = true;
-        }
-        if (m->state == MachineState::booting) {
-            double boot_s = m->type == kNone ? 60 : types_[m->type].boot_s;
-            if (now - m->hired_at > seconds(boot_s * kHopeless + settings_.list_lag_s)) {
-                return_machine(*m, "never came up");
-            } else if (m->listed_running_at != 0 && now - m->listed_running_at > 5 * give_up &&
-                       !blind) {
-                return_machine(*m, "runs but never reported");
-            }
-            if (now - m->hired_at > seconds(boot_s * kLate) && !m->late) {
-                m->late = true;
-                dirty_ = true;  // no longer counted on
-            }
-            if (!m->attempts.empty() && now > m->lease_until) {
-                // Known from a record only, and its lease is long over.
-                return_machine(*m, "known from records only");
-            }
-            continue;
+    const bool blind = cut_off();
+    const Millis silent = now - m.heard_at;
+    bool well = m.usable() && !m.empty() && silent < probe_after - kWatchBusy;
+    machine_agenda_.by(m.index, now + (well ? kWatchBusy : kWatchOther));
+    if (m.state == MachineState::lent) return;
+    if (m.reserved_for != kNone && now >= m.reserved_until) drop_reservation(m);
+    if (!m.direct_in_flight && now >= m.retry_direct_at) poke(m);
+    if (m.state == MachineState::booting) {
+        double boot_s = m.type == kNone ? 60 : types_[m.type].boot_s;
+        if (now - m.hired_at > seconds(boot_s * kHopeless + settings_.list_lag_s)) {
+            return_machine(m, "never came up");
+        } else if (m.listed_running_at != 0 && now - m.listed_running_at > 5 * give_up && !blind) {
+            return_machine(m, "runs but never reported");
         }
-        Millis silent = now - m->heard_at;
-        if (silent > probe_after && !m->direct_in_flight && now >= m->retry_direct_at &&
-            m->state != MachineState::gone) {
-            m->wants_confirm = true;
-            m->retry_direct_at = now;
-            poke(*m);
+        if (now - m.hired_at > seconds(boot_s * kLate) && !m.late) {
+            m.late = true;
+            dirty_ = true;  // no longer counted on
         }
-        if (silent > give_up && m->direct_failures > 0 && !blind) return_machine(*m, "is silent");
-        if (now > m->lease_until && silent > seconds(settings_.lease_s)) {
-            // Whatever it had, it has killed by itself.
-            while (!m->attempts.empty()) proven_gone(*m->attempts.back(), now);
-        }
-        if (role_ == Role::holder) continue;
-        if (m->empty()) {
-            if (m->idle_since == 0) m->idle_since = now;
-            bool over = m->state == MachineState::draining && m->warned_until == 0;
-            if (m->state == MachineState::ready && m->reserved_for == kNone &&
-                now - m->idle_since > idle_keep(*m)) {
-                return_machine(*m, "is idle");
-            } else if (over) {
-                return_machine(*m, "is drained");
-            } else if (m->state == MachineState::draining && m->attempts.empty()) {
-                return_machine(*m, "is taken back");
-            }
-        } else {
-            m->idle_since = 0;
+        if (!m.attempts.empty() && now > m.lease_until) {
+            // Known from a record only, and its lease is long over.
+            return_machine(m, "known from records only");
         }
+        return;
+    }
+    if (m.up && silent > seconds(2.5 * settings_.report_s)) set_silent(m, true);
+    if (silent > probe_after && !m.direct_in_flight && now >= m.retry_direct_at &&
+        m.state != MachineState::gone) {
+        m.wants_confirm = true;
+        m.retry_direct_at = now;
+        poke(m);
+    }
+    if (silent > give_up && m.direct_failures > 0 && !blind) return_machine(m, "is silent");
+    if (now > m.lease_until && silent > seconds(settings_.lease_s)) {
+        // Whatever it had, it has killed by itself.
+        while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
+    }
+    if (role_ == Role::holder) return;
+    if (!m.empty()) {
+        m.idle_since = 0;
+        return;
+    }
+    if (m.idle_since == 0) m.idle_since = now;
+    bool over = m.state == MachineState::draining && m.warned_until == 0;
+    if (m.state == MachineState::ready && m.reserved_for == kNone &&
+        now - m.idle_since > idle_keep(m, now)) {
+        return_machine(m, "is idle");
+    } else if (over) {
+        return_machine(m, "is drained");
+    } else if (m.state == MachineState::draining && m.attempts.empty()) {
+        return_machine(m, "is taken back");
     }
-    send_returns(now);
 }
 
 void Dispatcher::return_machine(Machine& m, const char* why) {
@@ -461,9 +449,8 @@
 void Dispatcher::send_returns(Millis now) {
     if (return_in_flight_ || now < retry_return_at_ || !confirmed_ || role_ == Role::holder) return;
     std::vector<std::string> names;
-    for (Machine* m : roster_.all()) {
-        if (m->state == MachineState::returning && names.size() < kMostReturn)
-            names.push_back(m->name);
+    for (Index i : returning_) {
+        if (names.size() < kMostReturn) names.push_back(roster_.at(i)->name);
     }
     if (names.empty()) return;
     return_in_flight_ = true;
@@ -486,32 +473,13 @@
     if (!started_ || deposed_) return;
     watch_machines(now);
     if (role_ == Role::leader) {
-        count_spare(now);
         consolidate(now);
         share_machines(now);
         check_leases(now);
         commit_blocks(now);
     }
     drop_leftovers(now);
-    for (auto& [id, j] : jobs_) {
-        if (j->hold_until != 0 && now >= j->hold_until) {
-            j->hold_until = 0;
-            dirty_ = true;
-        }
-    }
-    std::vector<std::string> ending;
-    for (auto& [id, j] : jobs_) {
-        if (j->state != jobs::JobState::open)
-            ending.push_back(id);
-        else if (needs_commit(*j, now) && confirmed_)
-            commit_job(*j, now);
-    }
-    for (const std::string& id : ending) {
-        if (Job* j = find_job(id)) maybe_finish(*j, now);
-    }
-    for (Machine* m : roster_.all()) {
-        if (now >= m->retry_direct_at && !m->direct_in_flight) poke(*m);
-    }
+    tend_jobs(now);
     flush_poked(now);
     if (dirty_ || now >= next_pass_ + 1000) schedule(now);
 }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -51,6 +51,7 @@
     std::uint32_t task = 0;
     std::uint32_t number = 0;  // attempt number, from 1
     Index machine = kNone;
+    std::uint32_t place = 0;  // in its job's list
     AttemptState state = AttemptState::recording;
     std::uint64_t token = 0;         // of the last start sent, or of the term that recorded it
     std::uint64_t session = 0;       // of the machine when the start was sent
@@ -105,9 +106,14 @@
     std::map<std::uint32_t, Chunk> chunks;
     std::vector<std::unique_ptr<Attempt>> attempts;  // live or not yet forgotten
     std::uint32_t live = 0;                          // attempts that may hold a place
+    std::uint32_t running = 0;                       // of them, those that were seen to run
+    std::uint32_t recording = 0;                     // those whose checkpoint is not committed yet
+    std::uint32_t unrecorded = 0;  // and those that no transaction under way names either
+    bool queued = false;           // in the list of those that want places
     bool commit_in_flight = false;
     std::uint64_t commits = 0;
     Millis retry_commit_at = 0;
+    Millis committed_at = 0;      // the last checkpoint was sent
     Millis done_dirty_since = 0;  // completions that no record shows yet
 
     // Gangs: all members share the attempt's number.
@@ -124,6 +130,8 @@
     Index lent_to = kNone;                          // block whose holder has it
     std::uint64_t lent_done = 0, lent_running = 0;  // as the holder last said
     Millis starved_since = 0;                       // first time no place was found
+    std::vector<Index> reserved;                    // machines where room was made for it
+    Millis make_room_at = 0;                        // not again before
 
     links::Links links;
     links::Event accepted_event = kNone, cancelled_event = kNone;
--- a/src/workers/roster.cpp
+++ b/src/workers/roster.cpp
@@ -28,10 +28,6 @@
     return "?";
 }
 
-bool Machine::empty() const {
-    return std::none_of(attempts.begin(), attempts.end(), [](const auto* a) { return a->live(); });
-}
-
 Machine* Roster::add(const std::string& name) {
     // Indices are not used again: lists of machines that failed a job outlive the machines.
     Index i = static_cast<Index>(machines_.size());
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -49,6 +49,8 @@
     Millis warned_until = 0;       // spot notice: taken back about then; 0: none
 
     std::vector<jobs::Attempt*> attempts;
+    std::uint32_t live = 0;  // attempts that may hold a place
+    std::uint32_t firm = 0;  // of them, those of gangs and services
     double cpus_free = 0, gpus_free = 0, memory_free = 0;
     std::vector<CachedImage> images;
     Millis idle_since = 0;
@@ -67,12 +69,17 @@
     Millis retry_direct_at = 0;
     std::uint32_t direct_failures = 0;
     bool granted = false;  // in a committed block record
-    bool return_in_flight = false;
+    bool poked = false;    // in the list of those that have something to be sent
+
+    // Counted on by the roster's sums.
+    bool spare = false;   // a whole-machine task could have it within seconds
+    bool up = false;      // reports, or should
+    bool silent = false;  // has missed reports
 
     void set_state(MachineState s) { state = s; }
     bool confirmed() const { return token != 0 && seen_token == token; }
     bool usable() const { return state == MachineState::ready; }
-    bool empty() const;
+    bool empty() const { return live == 0; }
 };
 
 class Roster {
@@ -82,6 +89,7 @@
     // Null once the machine is gone.
     Machine* at(Index i) { return machines_[i].get(); }
     void remove(Machine* m);  // keeps a tombstone of the name
+    bool has(const std::string& name) const { return by_name_.count(name) != 0; }
     bool buried(const std::string& name) const { return buried_.count(name) != 0; }
 
     // All machines there are, in no order.
