--- a/src/admin/options.cpp
+++ b/src/admin/options.cpp
@@ -9,8 +9,8 @@
 const std::vector<Option>& all_options() {
     static const std::vector<Option> options = {
         {"lent_machines", &Options::lent_machines, 0, 16, true},
-        {"spare_boots", &Options::spare_boots, 0, 20, false},
-        {"hire_boots", &Options::hire_boots, 0, 20, false},
+        {"keep_margin", &Options::keep_margin, 0, 20, false},
+        {"hire_margin", &Options::hire_margin, 0, 20, false},
         {"use_spot", &Options::use_spot, 0, 1, true},
     };
     return options;
--- a/src/admin/options.h
+++ b/src/admin/options.h
@@ -10,9 +10,11 @@
 
 struct Options {
     double lent_machines = 2;  // to each other controller
-    double spare_boots = 2.5;  // whole machines kept for what arrives within so many boot times
-    double hire_boots = 1;     // and hired ahead of them
-    double use_spot = 1;       // 0: hire ordinary machines only
+    // Whole machines for tasks that take one each, beyond what is expected to be used and left
+    // within a boot time, in standard deviations of that:
+    double keep_margin = 2;  // not given back
+    double hire_margin = 1;  // hired ahead
+    double use_spot = 1;     // 0: hire ordinary machines only
 };
 
 struct Option {
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -28,7 +28,7 @@
     };
     if (runs(a.state) != runs(s)) {
         j.running += runs(s) ? 1 : -1;
-        if (j.spec.shape == wire::Shape::array) learned_[j.job_class].running += runs(s) ? 1 : -1;
+        if (!j.service()) learned_[j.job_class].running += runs(s) ? 1 : -1;
     }
     if (a.state == AttemptState::recording) {
         --j.recording;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -264,6 +264,7 @@
     void send_returns(Millis now);
     Millis idle_keep(const Machine& m, Millis now);
     bool whole(const Job& j) const;
+    double wanted_ahead(fleet::Forecast& arrivals, double margin, Millis now);
     std::size_t spare_wanted(Millis now);
     bool move_replicas(Machine& from, Millis now);
     void consolidate(Millis now);
@@ -288,7 +289,8 @@
     std::map<std::uint32_t, Lease> leases_;  // by block
     admin::Options options_;
     admin::Metrics* metrics_ = nullptr;
-    bool starving_ = false;  // jobs found no place when last looked
+    bool starving_ = false;       // jobs found no place when last looked
+    bool whole_waiting_ = false;  // among them such as take a machine a task
     bool started_ = false;
     bool confirmed_ = true;
     bool deposed_ = false;
@@ -329,7 +331,8 @@
     std::map<std::tuple<Index, Index, bool>, Offer> offers_;
     struct Learned {
         double ran_s = 0, guessed_s = 0, weight = 0;
-        std::uint32_t running = 0;  // array tasks of the class
+        std::uint32_t running = 0;  // tasks that will end by themselves
+        bool whole = false;         // they take a machine each
     };
     std::vector<Learned> learned_;       // by class
     fleet::Forecast whole_arrivals_;     // tasks that want most of a machine, at once
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -230,6 +230,7 @@
     j.cancelled_event = j.links.add_event({.forcible = true});
     j.links.submit(j.accepted_event);
     if (whole(j)) {
+        learned_[j.job_class].whole = true;
         whole_arrivals_.arrived(j.spec.tasks, j.accepted_at);
         for (Index t = 0; t < types_.size() && t < j.allowed_type.size(); ++t) {
             const wire::MachineType& type = types_[t];
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -107,6 +107,7 @@
     // A long queue is looked through less often.
     next_pass_ = now + kPassGap + static_cast<Millis>(waiting_.size() / 4);
     std::vector<Job*> unplaced;
+    whole_waiting_ = false;
     for (Job* j : queue(now)) {
         if (confirmed_ && !lend_job(*j, now)) {
             try_job(*j, now);
@@ -118,6 +119,7 @@
         if (j->unstarted() > 0) {
             if (j->starved_since == 0) j->starved_since = now;
             unplaced.push_back(j);
+            whole_waiting_ = whole_waiting_ || learned_[j->job_class].whole;
         }
     }
     if (confirmed_ && role_ == Role::leader) {
@@ -202,7 +204,11 @@
     std::vector<Choice> heap;
     if (within_limit(j, 1)) {
         for (Machine* m : fitting(j, need, now)) {
-            if (now >= m->closed_until) heap.push_back(rated(m));
+            if (now < m->closed_until) continue;
+            // Machines that gather for a gang are not for those that spot machines serve as well:
+            // they would be stopped again at once.
+            if (whole_waiting_ && j.spec.spot && !m->spot && m->empty()) continue;
+            heap.push_back(rated(m));
         }
     }
     std::make_heap(heap.begin(), heap.end());
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -34,7 +34,6 @@
         double cpus, gpus, memory_gb;
     };
     std::vector<Bin> bins;
-    std::size_t whole_coming = 0;  // ordinary machines that nothing is packed onto yet
     auto add_bin = [&](Index type, Index zone, bool spot) {
         const wire::MachineType& t = types_[type];
         bins.push_back({type, zone, spot, t.cpus, t.gpus, t.memory_gb});
@@ -79,10 +78,10 @@
     };
     std::size_t fresh = 0;
     std::uint32_t soon_free = places_soon_free();
-    for (Job* j : unplaced) {
+    auto supply = [&](Job* j) {
         Need need = placing::need_of(*j);
         std::uint32_t tasks = std::min(j->unstarted(), room_in_limit(*j));
-        if (j->gang() && tasks < j->spec.tasks) continue;
+        if (j->gang() && tasks < j->spec.tasks) return;
         if (j->spec.shape == wire::Shape::array) {
             std::uint32_t k = std::min(tasks, soon_free);
             soon_free -= k;
@@ -104,6 +103,7 @@
         if (j->gang() && j->spec.one_zone && zone == kNone && j->spec.tasks > 1) {
             std::vector<std::uint32_t> room(zone_names_.size());
             for (const Bin& b : bins) {
+                if (b.spot && !j->spec.spot) continue;
                 room[b.zone] += placing::how_many(b.cpus, b.gpus, b.memory_gb, need, tasks);
             }
             for (Machine* m : fitting(*j, need, now)) {
@@ -145,18 +145,25 @@
             return b.cpus <= placing::kSlack ||
                    (types_[b.type].gpus > 0 && b.gpus <= placing::kSlack);
         });
+    };
+    for (Job* j : unplaced) {
+        if (!j->spec.spot) supply(j);
     }
-    for (const Bin& b : bins) {
-        const wire::MachineType& t = types_[b.type];
-        if (!b.spot && b.gpus >= t.gpus && b.cpus >= t.cpus) ++whole_coming;
-    }
-    // Machines for gangs that are likely to come before another could boot.
+    // Machines for gangs that are likely to come before another could boot. They are set aside
+    // before jobs that may use spot machines are packed: arrays would take them, and as many more
+    // would be hired ahead the next time, and the next.
     if (whole_type_ != kNone) {
-        double likely =
-            pressing_arrivals_.within(types_[whole_type_].boot_s * options_.hire_boots, now);
-        std::size_t ready = spare_ + whole_coming;
-        for (auto lacking = static_cast<std::size_t>(std::floor(likely)); lacking > ready;
-             --lacking) {
+        auto likely =
+            static_cast<std::size_t>(wanted_ahead(pressing_arrivals_, options_.hire_margin, now));
+        likely -= std::min(likely, spare_);
+        std::erase_if(bins, [&](const Bin& b) {
+            const wire::MachineType& t = types_[b.type];
+            bool untouched = !b.spot && b.gpus >= t.gpus && b.cpus >= t.cpus;
+            if (!untouched || likely == 0) return false;
+            --likely;
+            return true;
+        });
+        for (; likely > 0; --likely) {
             std::optional<Index> best;
             for (const std::string& name : types_[whole_type_].zones) {
                 Index z = zone_names_.find(name);
@@ -169,6 +176,9 @@
             ++there[*best];
         }
     }
+    for (Job* j : unplaced) {
+        if (j->spec.spot) supply(j);
+    }
     for (const auto& [kind, n] : wanted) {
         auto [t, z, spot] = kind;
         hire(t, z, spot, std::min(n, kMostHire), now);
@@ -184,7 +194,7 @@
     }
     double places = 0;
     for (const Learned& l : learned_) {
-        if (l.weight <= 0) continue;
+        if (l.whole || l.weight <= 0) continue;
         double run_s = std::max(1.0, l.ran_s / l.weight);
         places += l.running * std::min(1.0, boot_s / run_s);
     }
@@ -288,11 +298,23 @@
     return true;
 }
 
-// How many whole ordinary machines should be there for tasks that take one each.
-std::size_t Dispatcher::spare_wanted(Millis now) {
+// How many whole machines should be free now, so that tasks which take one each need not wait for a
+// boot: what arrives within one beyond what is left by then, and a margin, since both come in
+// lumps.
+double Dispatcher::wanted_ahead(fleet::Forecast& arrivals, double margin, Millis now) {
     double boot_s = types_.empty() ? 60 : types_.front().boot_s;
+    double left = 0;
+    for (const Learned& l : learned_) {
+        if (!l.whole || l.weight <= 0) continue;
+        left += l.running * std::min(1.0, boot_s / std::max(1.0, l.ran_s / l.weight));
+    }
+    return std::max(0.0, arrivals.within(boot_s, now) - left) +
+           margin * std::sqrt(2.0) * arrivals.deviation(boot_s, now);
+}
+
+std::size_t Dispatcher::spare_wanted(Millis now) {
     return static_cast<std::size_t>(
-        std::ceil(whole_arrivals_.within(boot_s * options_.spare_boots, now)));
+        std::ceil(wanted_ahead(whole_arrivals_, options_.keep_margin, now)));
 }
 
 // A spot machine is cheap to keep. An ordinary one stays while it may be needed before another
