Of the jobs still in time, those with least work left go first: tsba rough deadlines .53 to .60

Cause: serving by latest start works on jobs that are about to be late, so that under a burst most end late together; the aims count jobs, whatever their size.

--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -67,8 +67,8 @@
     std::sort(out.begin(), out.end(), [&](const Job* a, const Job* b) {
         int ra = rank(a), rb = rank(b);
         if (ra != rb) return ra < rb;
-        return std::tie(a->urgency.missed, a->urgency.start_by, a->accepted_at, a->spec.id) <
-               std::tie(b->urgency.missed, b->urgency.start_by, b->accepted_at, b->spec.id);
+        return std::tie(a->urgency.missed, a->urgency.work, a->accepted_at, a->spec.id) <
+               std::tie(b->urgency.missed, b->urgency.work, b->accepted_at, b->spec.id);
     });
     return out;
 }
@@ -97,6 +97,7 @@
             first = std::min(first, start_by);
     }
     u.start_by = first;
+    u.work = j.unstarted() * std::max(1.0, expected_run_s(j));
     return u;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -87,6 +87,7 @@
 
 struct Urgency {
     int missed = 0;
+    double work = 0;  // of the tasks that wait, in seconds
     Millis start_by = 0;
 };
 
