Silent machines are given up after two failed probes: replicas sooner back

Cause: machines that died without a word were given up after three report times, 15 s and 24 s, while their tasks waited.

--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -21,6 +21,9 @@
 constexpr std::size_t kMostEmptied = 16;  // machines looked at for emptying in one go
 constexpr Millis kWatchBusy = 1'000;      // a machine that does well is looked at so often
 constexpr Millis kWatchOther = 200;
+constexpr Millis kReportSlack = 500;
+constexpr Millis kProbing = 3'000;  // two probes take longer than this to fail
+constexpr Millis kNeverReported = 45'000;
 constexpr double kLate = 1.7;      // boots beyond this many boot times no longer count
 constexpr double kHopeless = 4.0;  // and beyond this they are given back
 }  // namespace
@@ -398,8 +401,10 @@
 
 // What time does to a machine: it is late, silent, idle, or its lease is over.
 void Dispatcher::watch_machine(Machine& m, Millis now) {
-    const Millis probe_after = seconds(1.6 * settings_.report_s);
-    const Millis give_up = seconds(3 * settings_.report_s);
+    // A report is at most a quarter late. Two probes that fail after that tell enough: the cloud's
+    // answer to the return is what proves the machine gone.
+    const Millis probe_after = seconds(1.25 * settings_.report_s) + kReportSlack;
+    const Millis give_up = probe_after + kProbing;
     const bool blind = cut_off();
     const Millis silent = now - m.heard_at;
     bool well = m.usable() && !m.empty() && silent < probe_after - kWatchBusy;
@@ -411,7 +416,8 @@
         double boot_s = m.type == kNone ? 60 : types_[m.type].boot_s;
         if (now - m.hired_at > seconds(boot_s * kHopeless + settings_.list_lag_s)) {
             return_machine(m, "never came up");
-        } else if (m.listed_running_at != 0 && now - m.listed_running_at > 5 * give_up && !blind) {
+        } else if (m.listed_running_at != 0 && now - m.listed_running_at > kNeverReported &&
+                   !blind) {
             return_machine(m, "runs but never reported");
         }
         if (now - m.hired_at > seconds(boot_s * kLate) && !m.late) {
@@ -431,7 +437,7 @@
         m.retry_direct_at = now;
         poke(m);
     }
-    if (silent > give_up && m.direct_failures > 0 && !blind) return_machine(m, "is silent");
+    if (silent > give_up && m.direct_failures > 1 && !blind) return_machine(m, "is silent");
     if (now > m.lease_until && silent > seconds(settings_.lease_s)) {
         // Whatever it had, it has killed by itself.
         while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
