--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -28,10 +28,7 @@
     };
     if (runs(a.state) != runs(s)) {
         j.running += runs(s) ? 1 : -1;
-        if (!j.service()) {
-            learned_[j.job_class].running += runs(s) ? 1 : -1;
-            learned_[j.job_class].share += runs(s) ? j.share : -j.share;
-        }
+        if (!j.service()) learned_[j.job_class].running += runs(s) ? 1 : -1;
     }
     if (a.state == AttemptState::recording) {
         --j.recording;
@@ -80,14 +77,6 @@
         openings_.put(m.index, {m.type, m.zone, m.spot}, m.cpus_free, m.gpus_free);
     else
         openings_.remove(m.index);
-    double room = 0;
-    if (m.usable() && m.spot && m.type != kNone) {
-        const wire::MachineType& t = types_[m.type];
-        room = std::max(0.0, m.cpus_free / std::max(1.0, t.cpus));
-        if (t.gpus > 0) room = std::min(room, std::max(0.0, m.gpus_free / t.gpus));
-    }
-    spot_room_ += room - m.room;
-    m.room = room;
     bool spare = m.usable() && !m.spot && m.firm == 0;
     if (spare != m.spare) spare_ += spare ? 1 : -1;
     m.spare = spare;
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -156,8 +156,8 @@
     // before jobs that may use spot machines are packed: arrays would take them, and as many more
     // would be hired ahead the next time, and the next.
     if (whole_type_ != kNone) {
-        auto likely = static_cast<std::size_t>(
-            wanted_ahead(pressing_arrivals_, true, options_.hire_margin, now));
+        auto likely =
+            static_cast<std::size_t>(wanted_ahead(pressing_arrivals_, options_.hire_margin, now));
         likely -= std::min(likely, spare_);
         std::erase_if(bins, [&](const Bin& b) {
             const wire::MachineType& t = types_[b.type];
@@ -301,14 +301,15 @@
     return true;
 }
 
-// How many machines' worth should be free now, so that what comes need not wait for a boot: what
-// arrives within one beyond what is left by then, and a margin, since both come in lumps.
-double Dispatcher::wanted_ahead(fleet::Forecast& arrivals, bool whole, double margin, Millis now) {
+// How many whole machines should be free now, so that tasks which take one each need not wait for a
+// boot: what arrives within one beyond what is left by then, and a margin, since both come in
+// lumps.
+double Dispatcher::wanted_ahead(fleet::Forecast& arrivals, double margin, Millis now) {
     double boot_s = types_.empty() ? 60 : types_.front().boot_s;
     double left = 0;
     for (const Learned& l : learned_) {
-        if (l.whole != whole || l.weight <= 0) continue;
-        left += l.share * std::min(1.0, boot_s / std::max(1.0, l.ran_s / l.weight));
+        if (!l.whole || l.weight <= 0) continue;
+        left += l.running * std::min(1.0, boot_s / std::max(1.0, l.ran_s / l.weight));
     }
     return std::max(0.0, arrivals.within(boot_s, now) - left) +
            margin * std::sqrt(2.0) * arrivals.deviation(boot_s, now);
@@ -316,16 +317,14 @@
 
 std::size_t Dispatcher::spare_wanted(Millis now) {
     return static_cast<std::size_t>(
-        std::ceil(wanted_ahead(whole_arrivals_, true, options_.keep_margin, now)));
+        std::ceil(wanted_ahead(whole_arrivals_, options_.keep_margin, now)));
 }
 
-// A machine stays while it may be needed before another boots.
+// A spot machine is cheap to keep. An ordinary one stays while it may be needed before another
+// boots.
 Millis Dispatcher::idle_keep(const Machine& m, Millis now) {
     double boot = m.type == kNone ? 60 : types_[m.type].boot_s;
-    if (m.spot) {
-        double wanted = wanted_ahead(spot_arrivals_, false, options_.hire_margin, now);
-        return spot_room_ > wanted + 1 ? seconds(kIdleSurplus) : seconds(20 * boot);
-    }
+    if (m.spot) return seconds(2 * boot);
     return spare_ > spare_wanted(now) ? seconds(kIdleSurplus) : seconds(20 * boot);
 }
 
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -72,7 +72,6 @@
     bool poked = false;    // in the list of those that have something to be sent
 
     // Counted on by the roster's sums.
-    double room = 0;      // free share of a spot machine
     bool spare = false;   // a whole-machine task could have it within seconds
     bool up = false;      // reports, or should
     bool silent = false;  // has missed reports
