--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -16,9 +16,9 @@
 constexpr double kIdleSurplus = 10;       // seconds
 constexpr Millis kSettled = 31'000;       // replicas that have run so long may be moved
 constexpr Millis kClosed = 30'000;        // a machine that is being emptied takes nothing new
-constexpr Millis kConsolidateEvery = 3'000;
+constexpr Millis kConsolidateEvery = 1'000;
 constexpr std::size_t kMostFresh = 400;   // machines to ask for in one go
-constexpr std::size_t kMostEmptied = 16;  // machines looked at for emptying in one go
+constexpr std::size_t kMostEmptied = 40;  // machines looked at for emptying in one go
 constexpr Millis kWatchBusy = 1'000;      // a machine that does well is looked at so often
 constexpr Millis kWatchOther = 200;
 constexpr Millis kReportSlack = 500;
@@ -383,8 +383,10 @@
         return std::tie(a->gpus_free, a->cpus_free) > std::tie(b->gpus_free, b->cpus_free);
     });
     if (list.size() > kMostEmptied) list.resize(kMostEmptied);
+    std::vector<char> done(zone_names_.size());
     for (Machine* m : list) {
-        if (move_replicas(*m, now)) return;  // one at a time
+        // One at a time in each zone.
+        if (done[m->zone] == 0 && move_replicas(*m, now)) done[m->zone] = 1;
     }
 }
 
