--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -77,6 +77,9 @@
         openings_.put(m.index, {m.type, m.zone, m.spot}, m.cpus_free, m.gpus_free);
     else
         openings_.remove(m.index);
+    bool blank = m.usable() && !m.spot && m.live == 0;
+    if (blank != m.blank) blank_ += blank ? 1 : -1;
+    m.blank = blank;
     bool spare = m.usable() && !m.spot && m.firm == 0;
     if (spare != m.spare) spare_ += spare ? 1 : -1;
     m.spare = spare;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -338,6 +338,7 @@
     fleet::Forecast whole_arrivals_;     // tasks that want most of a machine, at once
     fleet::Forecast pressing_arrivals_;  // those of them that cannot wait for a boot
     Index whole_type_ = kNone;           // what the last of them would run on
+    std::size_t blank_ = 0;              // ordinary machines with nothing on them
     std::size_t spare_ = 0;              // machines that such tasks could have at once
     Millis next_consolidation_ = 0;
     struct Hiring {
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -11,9 +11,10 @@
 using wire::Priority;
 
 namespace {
-constexpr Millis kPassGap = 20;             // news gathers this long
-constexpr Millis kReservation = 12'000;     // beyond the time to save
-constexpr Millis kSupplyGap = 250;          // a boot takes far longer
+constexpr Millis kPassGap = 20;          // news gathers this long
+constexpr Millis kReservation = 12'000;  // beyond the time to save
+constexpr Millis kSupplyGap = 250;       // a boot takes far longer
+constexpr double kGangsSoonS = 20;
 constexpr Millis kMakeRoomGap = 500;        // for one job
 constexpr std::size_t kMostLooked = 300;    // machines of a kind, for one job in one pass
 constexpr std::size_t kMostSearched = 300;  // machines, for work that may be stopped
@@ -202,13 +203,15 @@
         }
         return Choice{c, m};
     };
+    // Blank machines that gangs need, or will within seconds, are not for those that spot machines
+    // serve as well: they would be stopped again at once.
+    const std::size_t kept =
+        whole_waiting_ ? blank_
+                       : static_cast<std::size_t>(whole_arrivals_.deviation(kGangsSoonS, now));
     std::vector<Choice> heap;
     if (within_limit(j, 1)) {
         for (Machine* m : fitting(j, need, now)) {
             if (now < m->closed_until) continue;
-            // Machines that gather for a gang are not for those that spot machines serve as well:
-            // they would be stopped again at once.
-            if (whole_waiting_ && j.spec.spot && !m->spot && m->empty()) continue;
             heap.push_back(rated(m));
         }
     }
@@ -217,6 +220,7 @@
         std::pop_heap(heap.begin(), heap.end());
         Machine* m = heap.back().machine;
         heap.pop_back();
+        if (m->blank && j.spec.spot && blank_ <= kept) continue;
         if (j.spec.one_zone && only_zone != kNone && m->zone != only_zone) continue;
         if (j.spec.spread && in_zone[m->zone] >= half) continue;
         std::uint32_t task, number;
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -72,6 +72,7 @@
     bool poked = false;    // in the list of those that have something to be sent
 
     // Counted on by the roster's sums.
+    bool blank = false;   // ordinary, and nothing is on it
     bool spare = false;   // a whole-machine task could have it within seconds
     bool up = false;      // reports, or should
     bool silent = false;  // has missed reports
