--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -28,7 +28,10 @@
     };
     if (runs(a.state) != runs(s)) {
         j.running += runs(s) ? 1 : -1;
-        if (!j.service()) learned_[j.job_class].running += runs(s) ? 1 : -1;
+        if (!j.service()) {
+            learned_[j.job_class].running += runs(s) ? 1 : -1;
+            learned_[j.job_class].share += runs(s) ? j.share : -j.share;
+        }
     }
     if (a.state == AttemptState::recording) {
         --j.recording;
@@ -80,6 +83,14 @@
     bool blank = m.usable() && !m.spot && m.live == 0;
     if (blank != m.blank) blank_ += blank ? 1 : -1;
     m.blank = blank;
+    double room = 0;
+    if (m.usable() && m.spot && m.type != kNone) {
+        const wire::MachineType& t = types_[m.type];
+        room = std::max(0.0, m.cpus_free / std::max(1.0, t.cpus));
+        if (t.gpus > 0) room = std::min(room, std::max(0.0, m.gpus_free / t.gpus));
+    }
+    spot_room_ += room - m.room;
+    m.room = room;
     bool spare = m.usable() && !m.spot && m.firm == 0;
     if (spare != m.spare) spare_ += spare ? 1 : -1;
     m.spare = spare;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -264,7 +264,7 @@
     void send_returns(Millis now);
     Millis idle_keep(const Machine& m, Millis now);
     bool whole(const Job& j) const;
-    double wanted_ahead(fleet::Forecast& arrivals, double margin, Millis now);
+    double wanted_ahead(fleet::Forecast& arrivals, bool whole, double margin, Millis now);
     std::size_t spare_wanted(Millis now);
     bool move_replicas(Machine& from, Millis now);
     void consolidate(Millis now);
@@ -332,11 +332,15 @@
     struct Learned {
         double ran_s = 0, guessed_s = 0, weight = 0;
         std::uint32_t running = 0;  // tasks that will end by themselves
+        double share = 0;           // of machines, that those take
         bool whole = false;         // they take a machine each
     };
     std::vector<Learned> learned_;       // by class
     fleet::Forecast whole_arrivals_;     // tasks that want most of a machine, at once
     fleet::Forecast pressing_arrivals_;  // those of them that cannot wait for a boot
+    fleet::Forecast spot_arrivals_;      // machines' worth of tasks that may use spot ones
+    double spot_room_ = 0;               // free on spot machines, in machines
+    Index spot_type_ = kNone;            // what the last of them would run on
     Index whole_type_ = kNone;           // what the last of them would run on
     std::size_t blank_ = 0;              // ordinary machines with nothing on them
     std::size_t spare_ = 0;              // machines that such tasks could have at once
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -229,6 +229,15 @@
     j.accepted_event = j.links.add_event({});
     j.cancelled_event = j.links.add_event({.forcible = true});
     j.links.submit(j.accepted_event);
+    for (Index t = 0; t < types_.size() && t < j.allowed_type.size() && j.share == 0; ++t) {
+        if (j.allowed_type[t] == 0) continue;
+        j.share = j.spec.cpus / std::max(1.0, types_[t].cpus);
+        if (types_[t].gpus > 0) j.share = std::max(j.share, j.spec.gpus / types_[t].gpus);
+        if (j.spec.spot) spot_type_ = t;
+    }
+    if (j.spec.spot && !j.service()) {
+        spot_arrivals_.arrived(j.share * j.spec.tasks, j.accepted_at);
+    }
     if (whole(j)) {
         learned_[j.job_class].whole = true;
         whole_arrivals_.arrived(j.spec.tasks, j.accepted_at);
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -79,6 +79,17 @@
         }
         return kind;
     };
+    // Where the cloud has not just refused, the zone with fewest machines.
+    auto emptiest = [&](Index type, bool spot) {
+        std::optional<Index> best;
+        for (const std::string& name : types_[type].zones) {
+            Index z = zone_names_.find(name);
+            auto it = offers_.find({type, z, spot});
+            if (it != offers_.end() && now < it->second.blocked_until) continue;
+            if (!best || there[z] < there[*best]) best = z;
+        }
+        return best;
+    };
     std::size_t fresh = 0;
     std::uint32_t soon_free = places_soon_free();
     auto supply = [&](Job* j) {
@@ -156,8 +167,8 @@
     // before jobs that may use spot machines are packed: arrays would take them, and as many more
     // would be hired ahead the next time, and the next.
     if (whole_type_ != kNone) {
-        auto likely =
-            static_cast<std::size_t>(wanted_ahead(pressing_arrivals_, options_.hire_margin, now));
+        auto likely = static_cast<std::size_t>(
+            wanted_ahead(pressing_arrivals_, true, options_.hire_margin, now));
         likely -= std::min(likely, spare_);
         std::erase_if(bins, [&](const Bin& b) {
             const wire::MachineType& t = types_[b.type];
@@ -167,13 +178,7 @@
             return true;
         });
         for (; likely > 0; --likely) {
-            std::optional<Index> best;
-            for (const std::string& name : types_[whole_type_].zones) {
-                Index z = zone_names_.find(name);
-                auto it = offers_.find({whole_type_, z, false});
-                if (it != offers_.end() && now < it->second.blocked_until) continue;
-                if (!best || there[z] < there[*best]) best = z;
-            }
+            auto best = emptiest(whole_type_, false);
             if (!best) break;
             ++wanted[{whole_type_, *best, false}];
             ++there[*best];
@@ -182,6 +187,18 @@
     for (Job* j : unplaced) {
         if (j->spec.spot) supply(j);
     }
+    // Spot machines are cheap: room for what is likely to come is hired before it comes.
+    double spot_ahead = wanted_ahead(spot_arrivals_, false, options_.hire_margin, now) - spot_room_;
+    for (const Bin& b : bins) {
+        if (b.spot) spot_ahead -= b.cpus / std::max(1.0, types_[b.type].cpus);
+    }
+    for (; spot_type_ != kNone && options_.use_spot != 0 && spot_ahead >= 1; spot_ahead -= 1) {
+        auto best = emptiest(spot_type_, true);
+        if (!best || fresh >= kMostFresh) break;
+        ++fresh;
+        ++wanted[{spot_type_, *best, true}];
+        ++there[*best];
+    }
     for (const auto& [kind, n] : wanted) {
         auto [t, z, spot] = kind;
         hire(t, z, spot, std::min(n, kMostHire), now);
@@ -301,15 +318,14 @@
     return true;
 }
 
-// How many whole machines should be free now, so that tasks which take one each need not wait for a
-// boot: what arrives within one beyond what is left by then, and a margin, since both come in
-// lumps.
-double Dispatcher::wanted_ahead(fleet::Forecast& arrivals, double margin, Millis now) {
+// How many machines' worth should be free now, so that what comes need not wait for a boot: what
+// arrives within one beyond what is left by then, and a margin, since both come in lumps.
+double Dispatcher::wanted_ahead(fleet::Forecast& arrivals, bool whole, double margin, Millis now) {
     double boot_s = types_.empty() ? 60 : types_.front().boot_s;
     double left = 0;
     for (const Learned& l : learned_) {
-        if (!l.whole || l.weight <= 0) continue;
-        left += l.running * std::min(1.0, boot_s / std::max(1.0, l.ran_s / l.weight));
+        if (l.whole != whole || l.weight <= 0) continue;
+        left += l.share * std::min(1.0, boot_s / std::max(1.0, l.ran_s / l.weight));
     }
     return std::max(0.0, arrivals.within(boot_s, now) - left) +
            margin * std::sqrt(2.0) * arrivals.deviation(boot_s, now);
@@ -317,7 +333,7 @@
 
 std::size_t Dispatcher::spare_wanted(Millis now) {
     return static_cast<std::size_t>(
-        std::ceil(wanted_ahead(whole_arrivals_, options_.keep_margin, now)));
+        std::ceil(wanted_ahead(whole_arrivals_, true, options_.keep_margin, now)));
 }
 
 // A spot machine is cheap to keep. An ordinary one stays while it may be needed before another
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -128,6 +128,7 @@
 
     bool within_guarantee = false;
     Urgency urgency;
+    double share = 0;                               // of a machine, that a task takes
     Index lent_to = kNone;                          // block whose holder has it
     std::uint64_t lent_done = 0, lent_running = 0;  // as the holder last said
     Millis starved_since = 0;                       // first time no place was found
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -73,6 +73,7 @@
 
     // Counted on by the roster's sums.
     bool blank = false;   // ordinary, and nothing is on it
+    double room = 0;      // free share of a spot machine
     bool spare = false;   // a whole-machine task could have it within seconds
     bool up = false;      // reports, or should
     bool silent = false;  // has missed reports
