--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -22,8 +22,9 @@
 constexpr Millis kSilent = 30'000;  // watches are answered more often
 constexpr Millis kTellEvery = 1000;
 constexpr std::size_t kMostShown = 1000;
-constexpr Millis kPruneEvery = 10'000;
-constexpr Millis kRest = 20'000;  // after handing over
+constexpr Millis kPruneEvery = 1'000;
+constexpr std::size_t kWorkerPart = 6;  // of the sockets, for commands to machines
+constexpr Millis kRest = 20'000;        // after handing over
 constexpr const char* kTypesKey = "fleet/types";
 
 state::Limits share_of(const wire::Settings& s) {
@@ -373,15 +374,34 @@
     }
     if (now() >= prune_at_) {
         prune_at_ = now() + kPruneEvery;
-        std::erase_if(workers_, [&](const auto& w) {
-            return !dispatcher_->roster().has(w.first) && !holding_.holds(w.first);
-        });
+        prune_workers();
     }
     if (!state_served() && peers_served() && election_.state() == leadership::State::doubting) {
         election_.step_down("the state service refuses this node alone", kRest);
     }
 }
 
+// Connections to machines that are gone are closed; of more than their share of the sockets, those
+// that were idle longest. Without this a controller of 1,300 machines has two sockets for each and
+// none left for users.
+void Node::prune_workers() {
+    std::erase_if(workers_, [&](const auto& w) {
+        return w.second.client->idle() && !dispatcher_->roster().has(w.first) &&
+               !holding_.holds(w.first);
+    });
+    const std::size_t most = settings_.max_sockets / kWorkerPart;
+    if (workers_.size() <= most) return;
+    std::vector<std::pair<Millis, std::string>> idle;
+    for (const auto& [name, w] : workers_) {
+        if (w.client->idle()) idle.emplace_back(w.used_at, name);
+    }
+    std::sort(idle.begin(), idle.end());
+    for (const auto& [used_at, name] : idle) {
+        if (workers_.size() <= most) return;
+        workers_.erase(name);
+    }
+}
+
 // --- the back channel
 
 void Node::heard(const peers::Status& s) {
@@ -521,7 +541,9 @@
 void Node::Box::direct(const std::string& machine, const std::string& address, std::uint64_t token,
                        std::uint64_t session, const std::vector<wire::Command>& commands,
                        std::function<void(Millis, const dispatch::DirectReply&)> done) {
-    auto& client = node_.workers_[machine];
+    Worker& worker = node_.workers_[machine];
+    auto& client = worker.client;
+    worker.used_at = node_.now();
     if (!client) {
         auto parsed = net::parse_address(address);
         if (!parsed) {
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -46,6 +46,7 @@
     void end_term();
     void watch_open();
     void tick();
+    void prune_workers();
     void poll_hosts();
     void poll_types();
     void remember_types();
@@ -123,7 +124,11 @@
     dispatch::Holding holding_;
     net::Timer bury_timer_;
     admin::Desk admin_;
-    std::unordered_map<std::string, std::unique_ptr<net::HttpClient>> workers_;
+    struct Worker {
+        std::unique_ptr<net::HttpClient> client;
+        Millis used_at = 0;
+    };
+    std::unordered_map<std::string, Worker> workers_;
     Millis prune_at_ = 0;
 };
 
--- a/src/dispatch/checkpoint.cpp
+++ b/src/dispatch/checkpoint.cpp
@@ -179,10 +179,12 @@
         return;
     }
     if (!ledger_.dirty()) return;
-    next_blocks_at_ = now + kBlockGap;  // machines that join one by one are recorded together
     state::Txn txn;
     txn.conditions = conditions();
-    auto numbers = ledger_.to_write(settings_.state_txn_ops / 2);
+    const std::size_t most = settings_.state_txn_ops / 2;
+    auto numbers = ledger_.to_write(most);
+    // Machines that join one by one are recorded together; a new leader's many grants do not wait.
+    if (numbers.size() < most) next_blocks_at_ = now + kBlockGap;
     std::vector<std::string> members;
     for (std::uint32_t n : numbers) {
         blocks::Block& b = ledger_.block(n);
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -12,7 +12,8 @@
 namespace {
 constexpr Millis kRetryRefused = 700;
 constexpr Millis kRetryUnknown = 200;
-constexpr std::size_t kBatch = 200;  // commands in one message
+constexpr std::size_t kDirectPart = 8;  // of the sockets, for messages under way at once
+constexpr std::size_t kBatch = 200;     // commands in one message
 }  // namespace
 
 void Dispatcher::poke(Machine& m) {
@@ -75,6 +76,11 @@
         machine_agenda_.by(m.index, m.retry_direct_at);
         return;
     }
+    if (directs_ >= std::max<std::size_t>(16, settings_.max_sockets / kDirectPart)) {
+        // A new leader asks every machine at once; the rest follow as answers come.
+        machine_agenda_.by(m.index, now + kRetryUnknown);
+        return;
+    }
     if (m.state == MachineState::booting || m.state == MachineState::lent || m.token == 0) return;
     std::vector<Command> commands;
     for (Attempt* a : m.attempts) {
@@ -98,6 +104,7 @@
     if (commands.empty() && !m.wants_confirm) return;
     m.wants_confirm = false;
     m.direct_in_flight = true;
+    ++directs_;
     outbox_.direct(
         m.name, m.address, m.token, std::max<std::uint64_t>(1, m.session), commands,
         guarded([this, name = m.name, token = m.token](Millis t, const DirectReply& reply) {
@@ -110,6 +117,7 @@
 
 void Dispatcher::on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
                            Millis now) {
+    --directs_;
     Machine* m = roster_.find(name);
     if (m == nullptr) return;
     m->direct_in_flight = false;
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -321,7 +321,8 @@
     std::vector<std::string> leftovers_;  // run records of finished jobs to delete
 
     std::vector<Index> poked_;
-    bool dirty_ = true;  // something changed that the schedule depends on
+    std::size_t directs_ = 0;  // messages to machines that are not answered yet
+    bool dirty_ = true;        // something changed that the schedule depends on
     Millis next_pass_ = 0, next_supply_ = 0, next_share_ = 0;
 
     struct Offer {  // what the cloud last said about one kind of machine in one zone
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -448,7 +448,9 @@
         }
         return;
     }
-    if (m.up && silent > seconds(2.5 * settings_.report_s)) set_silent(m, true);
+    // Counted before any is given up: a leader that is cut off must see that it is most of them
+    // before it returns the first.
+    if (m.up && silent > probe_after) set_silent(m, true);
     if (silent > probe_after && !m.direct_in_flight && now >= m.retry_direct_at &&
         m.state != MachineState::gone) {
         m.wants_confirm = true;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -286,11 +286,13 @@
     for (auto& c : open) c->check(now);
     for (auto& done : refused) done(Reply{Reply::Outcome::refused, 0, ""});
     pump();
-    bool busy =
-        !queue_.empty() || std::any_of(connections_.begin(), connections_.end(), [](const auto& c) {
-            return c->state() != ClientConnection::State::idle;
-        });
-    if (!busy) uv_timer_stop(timer_);
+    if (idle()) uv_timer_stop(timer_);
+}
+
+bool HttpClient::idle() const {
+    return queue_.empty() &&
+           std::all_of(connections_.begin(), connections_.end(),
+                       [](const auto& c) { return c->state() == ClientConnection::State::idle; });
 }
 
 }  // namespace nickelramp::net
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -35,6 +35,8 @@
     HttpClient& operator=(const HttpClient&) = delete;
 
     // `done` is called exactly once, never from inside this call, unless the client is destroyed.
+    // Nothing is queued or under way; connections may be open.
+    bool idle() const;
     void request(const char* method, const std::string& target, std::string body, Millis timeout,
                  Done done);
 
--- a/tests/book_test.cpp
+++ b/tests/book_test.cpp
@@ -122,6 +122,23 @@
     }
 }
 
+// The one that is cut off is the leader, not its machines: it returned the first silent ones before
+// it had noticed that most were silent, and their replicas were lost.
+TEST(Book, ALeaderThatHearsNobodyReturnsNoMachine) {
+    test::World world(300, {});
+    for (int n = 0; n < 6; ++n) {
+        world.submit(test::job("job-" + std::to_string(n), "standing", 2, 1));
+    }
+    world.run_until(60'000);
+    ASSERT_GE(world.machines(), 3u);
+    std::size_t before = world.returned();
+    test::Trouble cut;
+    cut.lost_checkin = cut.refused_direct = 1;
+    world.begin(cut);
+    world.run_until(world.now() + 15'000);
+    EXPECT_EQ(world.returned(), before);
+}
+
 // A transaction that is put off because one of its records must be read again first must not take
 // the other records for written: their tasks were never started.
 TEST(Book, RecordsOfATransactionThatWasPutOffAreWrittenLater) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -308,6 +308,12 @@
                          std::uint64_t session, const std::vector<wire::Command>& commands,
                          std::function<void(Millis, const dispatch::DirectReply&)> done) {
     World& w = *world;
+    if (w.trouble_.refused_direct > 0 && w.chance(w.trouble_.refused_direct)) {
+        dispatch::DirectReply reply;
+        reply.delivery = dispatch::Delivery::refused;
+        w.at(w.now_ + w.delay(10), [&w, reply, done] { done(w.now_, reply); });
+        return;
+    }
     bool held = w.chance(w.trouble_.held_direct);
     bool lost = held || w.chance(w.trouble_.lost_direct);
     auto replied = std::make_shared<bool>(false);
@@ -375,6 +381,12 @@
     });
 }
 
+std::size_t World::returned() const {
+    std::size_t n = 0;
+    for (const auto& [name, m] : machines_) n += m->removed && !m->dead ? 1 : 0;
+    return n;
+}
+
 void World::comes_up(const std::string& name) {
     Machine& m = *machines_[name];
     if (m.removed) return;
--- a/tests/world.h
+++ b/tests/world.h
@@ -25,12 +25,13 @@
     double lost_commit = 0;   // a transaction's outcome is unknown
     double lost_checkin = 0;  // a report or its answer is lost
     double refuse_hire = 0;
-    double sick = 0;          // machines that fail every task
-    double machine_dies = 0;  // a second, for one machine
-    double takeover = 0;      // a second
-    double linger = 0;        // share of deposed leaders that go on answering for a while
-    double holder_dies = 0;   // a second
-    double lost_back = 0;     // a message between controllers is lost
+    double sick = 0;            // machines that fail every task
+    double machine_dies = 0;    // a second, for one machine
+    double takeover = 0;        // a second
+    double linger = 0;          // share of deposed leaders that go on answering for a while
+    double holder_dies = 0;     // a second
+    double lost_back = 0;       // a message between controllers is lost
+    double refused_direct = 0;  // a connection to a machine is refused
 };
 
 class World {
@@ -43,6 +44,8 @@
     void submit(const wire::Json& spec);
     void cancel(const std::string& id);
     void calm() { trouble_ = {}; }
+    void begin(Trouble trouble) { trouble_ = trouble; }
+    std::size_t returned() const;               // machines, to the cloud
     std::size_t lent() const { return lent_; }  // grants that a holder took up
     void take_over();
     std::string final_state(const std::string& id) const;  // "", "done", "withdrawn"
