--- a/src/admin/options.cpp
+++ b/src/admin/options.cpp
@@ -11,6 +11,7 @@
         {"lent_machines", &Options::lent_machines, 0, 16, true},
         {"keep_margin", &Options::keep_margin, 0, 20, false},
         {"hire_margin", &Options::hire_margin, 0, 20, false},
+        {"spot_margin", &Options::spot_margin, 0, 20, false},
         {"use_spot", &Options::use_spot, 0, 1, true},
     };
     return options;
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -188,7 +188,7 @@
         if (j->spec.spot) supply(j);
     }
     // Spot machines are cheap: room for what is likely to come is hired before it comes.
-    double spot_ahead = wanted_ahead(spot_arrivals_, false, options_.hire_margin, now) - spot_room_;
+    double spot_ahead = wanted_ahead(spot_arrivals_, false, options_.spot_margin, now) - spot_room_;
     for (const Bin& b : bins) {
         if (b.spot) spot_ahead -= b.cpus / std::max(1.0, types_[b.type].cpus);
     }
