--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -266,7 +266,7 @@
     bool whole(const Job& j) const;
     double wanted_ahead(fleet::Forecast& arrivals, bool whole, double margin, Millis now);
     std::size_t spare_wanted(Millis now);
-    bool move_replicas(Machine& from, Millis now);
+    bool move_replicas(Machine& from, std::map<Machine*, Need>& planned, Millis now);
     void consolidate(Millis now);
 
     // Wraps a callback so that it does nothing once the term is over.
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -346,9 +346,9 @@
 
 // Can all replicas on this machine go on elsewhere at once? Then they do: with the image there, a
 // move takes no longer than a few messages.
-bool Dispatcher::move_replicas(Machine& from, Millis now) {
+bool Dispatcher::move_replicas(Machine& from, std::map<Machine*, Need>& planned, Millis now) {
     std::vector<std::pair<Attempt*, Machine*>> moves;
-    std::map<Machine*, Need> taken;
+    std::map<Machine*, Need> taken = planned;
     for (Attempt* a : from.attempts) {
         if (!a->live()) continue;
         Job& j = job_of(*a);
@@ -357,6 +357,7 @@
         Machine* best = nullptr;
         for (Machine* m : fitting(j, placing::need_of(j), now)) {
             if (m == &from || m->empty() || m->reserved_for != kNone) continue;
+            if (now < m->closed_until) continue;  // it is being emptied itself
             if (j.spec.spread && j.spec.tasks > 1 && m->zone != from.zone) continue;
             if (m->gpus_free > from.gpus_free + placing::kSlack) continue;  // only to fuller ones
             Need& t = taken[m];
@@ -376,6 +377,7 @@
     if (moves.empty()) return false;
     spdlog::info("moving {} replicas away from {}", moves.size(), from.name);
     from.closed_until = now + kClosed;
+    planned = std::move(taken);
     for (auto& [a, m] : moves) want_gone(*a, 0, now);
     return true;
 }
@@ -400,9 +402,12 @@
     });
     if (list.size() > kMostEmptied) list.resize(kMostEmptied);
     std::vector<char> done(zone_names_.size());
+    // Two machines must not be emptied onto the same places: replicas of the second had none left
+    // and waited for a boot.
+    std::map<Machine*, Need> planned;
     for (Machine* m : list) {
         // One at a time in each zone.
-        if (done[m->zone] == 0 && move_replicas(*m, now)) done[m->zone] = 1;
+        if (done[m->zone] == 0 && move_replicas(*m, planned, now)) done[m->zone] = 1;
     }
 }
 
