Silence that many machines share: rationed giving up, deputies in a cut zone

A zone cut off for 56 s cost 44% of all replicas: from 5 s on the leader returned every silent machine of it by its own hand. Silence is now judged by domain (clear, clouded, dark, clearing): giving up is rationed, in the dark nothing is given up while its lease lasts but what is stuck, replicas that may run in another zone move shortly before it ends, new work and hires go to zones that answer, and a machine that has left the cloud's list is gone. A controller that hears neither leader nor state service goes on answering its zone's machines under a leave of the leader's, as long as a cancellation it cannot know of allows. Production's checkpoints go first.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -27,10 +27,10 @@
 constexpr Millis kRest = 20'000;        // after handing over
 constexpr const char* kTypesKey = "fleet/types";
 
-state::Limits share_of(const wire::Settings& s) {
-    // The budget is one for all controllers. Their needs differ by the moment: each may use half,
-    // and a 429 slows it down.
-    return {s.state_rps * 0.5, s.state_write_rps * 0.5};
+// The budget is one for all controllers. Their needs differ by the moment: each may use half, the
+// leader, which writes for everybody, most of the changes; and a 429 slows any of them down.
+state::Limits share_of(const wire::Settings& s, bool leads) {
+    return {s.state_rps * 0.5, s.state_write_rps * (leads ? 0.8 : 0.5)};
 }
 
 std::uint64_t seed_of(const std::string& name) {
@@ -44,7 +44,7 @@
       settings_(settings),
       server_(loop, settings.max_sockets * 7 / 10,
               [this](const net::Request& q, net::Responder r) { handle(q, std::move(r)); }),
-      state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings)),
+      state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings, false)),
       cloud_(loop, *net::parse_address(settings.cloud), settings.cloud, settings.cloud_rps),
       desk_(settings, state_,
             {[this] { return wall_ms(); }, [this] { return now(); },
@@ -97,8 +97,13 @@
              [this](const peers::Grant& g) { granted(g); },
              [this](const peers::News& n) {
                  if (book_ == Book::running) dispatcher_->on_news(n, now());
+             },
+             [this](const peers::Leave& l) {
+                 leader_heard_at_ = now();
+                 deputy_.on_leave(l, holding_.incarnation(), now());
              }}),
       holding_(settings, leadership::kTermKey, holder_box_, seed_of(settings.name) | 1),
+      deputy_(settings),
       bury_timer_(loop, [this] { holding_.bury(); }),
       admin_(loop, state_, metrics_, {[this] { return status(); }, [this] { gather(); }},
              [this](const admin::Options& options) {
@@ -176,7 +181,9 @@
             responder.send({421, wire::redirect(leader), 0, "application/cbor"});
         }
     };
-    if (book_ != Book::running && holding_.state() == dispatch::HoldingState::empty) {
+    if (book_ == Book::idle) deputy_.look(leader_heard_at_, state_.last_answer(), now());
+    const bool deputises = book_ == Book::idle && deputy_.state() == deputy::State::answering;
+    if (book_ != Book::running && holding_.state() == dispatch::HoldingState::empty && !deputises) {
         redirect();
         return;
     }
@@ -190,9 +197,13 @@
     if (holding_.holds(report->machine)) {
         answer = holding_.on_checkin(*report, now());
     } else if (book_ != Book::running) {
-        redirect();
-        return;
-    } else if (now() - view_fresh_ > dispatch::answer_bound(settings_)) {
+        auto token = deputises ? deputy_.answer(*report, now()) : std::nullopt;
+        if (!token) {
+            redirect();
+            return;
+        }
+        answer.token = *token;
+    } else if (now() - view_fresh_ > deputy::answer_bound(settings_)) {
         // Whoever cannot know of a cancellation must let the leases run out in time.
         answer.status = 503;
     } else {
@@ -217,6 +228,7 @@
     term_ = term;
     term_version_ = version;
     close_timer_.stop();
+    state_.set_limits(share_of(settings_, true));
     holding_.end("this node leads");
     bury_timer_.after(0);
     dispatcher_.reset();
@@ -254,6 +266,10 @@
                                 outbox, now());
                             auto& d = *dispatcher_;
                             d.load_types(types_);
+                            for (const auto& [zone, since] : lost_zones_) {
+                                d.expect_lost(zone, since);
+                            }
+                            lost_zones_.clear();
                             for (const auto& i : block.items) {
                                 std::uint32_t n = 0;
                                 auto b = blocks::read_block(i.value);
@@ -301,11 +317,18 @@
 void Node::end_term() {
     if (book_ == Book::idle) return;
     ++generation_;
+    state_.set_limits(share_of(settings_, false));
     set_book(Book::closing);
     // Not at once: the book may be in the middle of something.
     close_timer_.after(0);
 }
 
+// Only while the hold is certain: once another may lead, what this node answers must not outlast
+// what the other takes for its predecessor's last leases.
+void Node::saw_cancellations(Millis until) {
+    if (election_.state() == leadership::State::leading) view_fresh_ = std::max(view_fresh_, until);
+}
+
 void Node::watch_open() {
     if (book_ != Book::running) return;
     auto g = generation_;
@@ -324,7 +347,7 @@
                         }
                     }
                     open_revision_ = all.revision;
-                    view_fresh_ = std::max(view_fresh_, began);
+                    saw_cancellations(began);
                 }
                 watch_timer_.after(all.outcome == state::Outcome::ok ? 0 : kLoadRetry);
             });
@@ -334,7 +357,7 @@
             watch_timer_.after(kLoadRetry);
             return;
         }
-        view_fresh_ = std::max(view_fresh_, sent);
+        saw_cancellations(sent);
         open_revision_ = std::max(open_revision_, r.revision);
         for (const auto& i : r.items) {
             if (i.deleted) {
@@ -410,6 +433,9 @@
         dispatcher_->peer_heard(s, now());
         shown_.clear();
     } else if (s.term != 0) {
+        leader_heard_at_ = now();
+        lost_zones_.clear();
+        for (const auto& l : s.lost) lost_zones_[l.zone] = now() - static_cast<Millis>(l.age_ms);
         shown_.clear();
         for (const auto& p : s.progress) shown_[p.id] = {p.done, p.running};
     }
@@ -422,7 +448,9 @@
     s.clock_ms = static_cast<std::uint64_t>(now());
     s.term = book_ == Book::running ? term_ : 0;
     s.state_age_ms = static_cast<std::uint64_t>(now() - state_.last_answer());
+    deputy_.tell(s, now());
     if (book_ == Book::running) {
+        s.lost = dispatcher_->lost_zones(now());
         for (const auto& [id, j] : dispatcher_->open_jobs()) {
             if (s.progress.size() >= kMostShown) break;
             auto p = dispatcher_->progress(id);
@@ -430,7 +458,10 @@
         }
     }
     mesh_.send_all(peers::encode(s));
-    if (book_ == Book::running) send_grants();
+    if (book_ == Book::running) {
+        send_grants();
+        send_leaves();
+    }
     if (auto news = holding_.news()) mesh_.send(holding_.leader(), peers::encode(*news));
 }
 
@@ -439,6 +470,11 @@
         mesh_.send(peer, peers::encode(g));
 }
 
+void Node::send_leaves() {
+    for (const auto& [peer, l] : dispatcher_->leaves(view_fresh_, now()))
+        mesh_.send(peer, peers::encode(l));
+}
+
 void Node::granted(const peers::Grant& g) {
     if (book_ == Book::running) return;
     holding_.on_grant(g, types_, wall_ms(), now());
@@ -479,9 +515,10 @@
 void Node::poll_hosts() {
     if (book_ != Book::running) return;
     auto g = generation_;
-    cloud_.hosts([this, g](const std::optional<std::vector<wire::Host>>& hosts) {
+    const Millis asked = now();
+    cloud_.hosts([this, g, asked](const std::optional<std::vector<wire::Host>>& hosts) {
         if (g != generation_ || book_ != Book::running) return;
-        if (hosts) dispatcher_->on_hosts(*hosts, now());
+        if (hosts) dispatcher_->on_hosts(*hosts, asked, now());
         hosts_timer_.after(std::max<Millis>(4000, seconds(settings_.list_lag_s)));
     });
 }
@@ -520,7 +557,7 @@
 void Node::Box::commit(state::Txn txn,
                        std::function<void(Millis, const state::CommitReply&)> done) {
     node_.state_.commit(
-        txn, state::Urgency::work, kCommit,
+        txn, txn.pressing ? state::Urgency::pressing : state::Urgency::work, kCommit,
         [&n = node_, done = std::move(done)](const state::CommitReply& r) { done(n.now(), r); });
 }
 
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "admin/desk.h"
+#include "deputy/deputy.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/holding.h"
 #include "fleet/cloud.h"
@@ -62,6 +63,8 @@
     void gather();
     bool state_served() const;
     void send_grants();
+    void send_leaves();
+    void saw_cancellations(Millis until);
 
     // What books ask for; both kinds of book share it.
     class Box : public dispatch::Outbox {
@@ -122,6 +125,9 @@
         shown_;  // done, running: for display
     Millis tell_at_ = 0;
     dispatch::Holding holding_;
+    deputy::Deputy deputy_;
+    Millis leader_heard_at_ = 0;
+    std::map<std::string, Millis> lost_zones_;  // since when, as the leader last said
     net::Timer bury_timer_;
     admin::Desk admin_;
     struct Worker {
--- a/src/blocks/ledger.h
+++ b/src/blocks/ledger.h
@@ -58,6 +58,8 @@
     void take_back(std::uint32_t n);
 
     std::uint64_t token_of(const std::string& name) const;  // 0: in no block
+    // No token that was granted is higher.
+    std::uint64_t highest() const { return grant_token(term_, grants_); }
 
     bool dirty() const;
     // The records to write, at most `limit`; their numbers in `out`.
--- a/src/dispatch/attempts.cpp
+++ b/src/dispatch/attempts.cpp
@@ -84,35 +84,35 @@
 // After any change of a machine's state or room: what is found and summed up without a look at
 // every machine.
 void Dispatcher::refresh(Machine& m) {
-    if (m.usable() && m.type != kNone && m.cpus_free > placing::kSlack)
+    if (m.open() && m.type != kNone && m.cpus_free > placing::kSlack)
         openings_.put(m.index, {m.type, m.zone, m.spot}, m.cpus_free, m.gpus_free);
     else
         openings_.remove(m.index);
-    bool up = m.up_at != 0 && m.state != MachineState::booting && m.state != MachineState::lent &&
-              m.state != MachineState::gone;
-    if (up != m.up) up_ += up ? 1 : -1;
-    m.up = up;
+    bool up = m.up_at != 0 && m.zone != kNone && m.state != MachineState::booting &&
+              m.state != MachineState::lent && m.state != MachineState::gone;
     if (!up) set_silent(m, false);
+    if (up != m.up) domains_.count(m.zone, up ? 1 : -1, 0);
+    m.up = up;
     if (m.type == kNone) return;  // of no type's sums yet
     Demand& demand = demand_of(m.type);
-    bool blank = m.usable() && !m.spot && m.live == 0;
+    bool blank = m.open() && !m.spot && m.live == 0;
     if (blank != m.blank) demand.blank += blank ? 1 : -1;
     m.blank = blank;
     double room = 0;
-    if (m.usable() && m.spot) {
+    if (m.open() && m.spot) {
         const wire::MachineType& t = types_[m.type];
         room = std::max(0.0, m.cpus_free / std::max(1.0, t.cpus));
         if (t.gpus > 0) room = std::min(room, std::max(0.0, m.gpus_free / t.gpus));
     }
     demand.spot_room += room - m.room;
     m.room = room;
-    bool here = m.usable() || m.state == MachineState::booting || m.state == MachineState::joining;
+    bool here = m.open() || m.state == MachineState::booting || m.state == MachineState::joining;
     double flexible =
         here ? std::max(0.0, 1 - m.firm_cpus / std::max(1.0, types_[m.type].cpus)) : 0;
     demand.flexible[m.spot ? 1 : 0] += flexible - m.flexible;
     m.flexible = flexible;
     double places = 0;
-    m.counts_for_replicas = standing_.type != kNone && m.usable() && !m.spot &&
+    m.counts_for_replicas = standing_.type != kNone && m.open() && !m.spot &&
                             m.type < standing_.dearness.size() &&
                             standing_.dearness[m.type].first <= placing::kDear;
     if (m.counts_for_replicas) {
@@ -120,7 +120,7 @@
     }
     standing_.places += places - m.places;
     m.places = places;
-    bool spare = m.usable() && !m.spot && m.firm == 0;
+    bool spare = m.open() && !m.spot && m.firm == 0;
     if (spare != m.spare) demand.spare += spare ? 1 : -1;
     m.spare = spare;
 }
--- a/src/dispatch/checkpoint.cpp
+++ b/src/dispatch/checkpoint.cpp
@@ -36,6 +36,7 @@
 // the job is as known (no start after a cancel) and that no late write has touched the records.
 void Dispatcher::commit_job(Job& j, Millis now) {
     state::Txn txn;
+    txn.pressing = j.spec.priority == wire::Priority::production;
     txn.conditions = conditions();
     txn.conditions.push_back({jobs::open_key(j.spec.id), j.version});
     std::vector<std::uint32_t> written;
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -12,6 +12,7 @@
 namespace {
 constexpr Millis kRetryRefused = 700;
 constexpr Millis kRetryUnknown = 200;
+constexpr Millis kRetryDark = 8'000;
 constexpr std::size_t kDirectPart = 8;  // of the sockets, for messages under way at once
 constexpr std::size_t kBatch = 200;     // commands in one message
 }  // namespace
@@ -150,7 +151,10 @@
             // Commands may be under way. A higher token makes them harmless once it is confirmed.
             raise_token(*m);
         }
-        m->retry_direct_at = now + (lost ? kRetryUnknown : kRetryRefused);
+        // Hundreds that cannot be reached are not probed as one is.
+        m->retry_direct_at = now + (domains_.shut(m->zone) ? kRetryDark
+                                    : lost                 ? kRetryUnknown
+                                                           : kRetryRefused);
     }
     poke(*m);
     flush_poked(now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -15,8 +15,10 @@
 #include "base/names.h"
 #include "base/time.h"
 #include "blocks/ledger.h"
+#include "deputy/deputy.h"
 #include "dispatch/guarantee.h"
 #include "dispatch/outbox.h"
+#include "domains/domains.h"
 #include "fleet/forecast.h"
 #include "jobs/job.h"
 #include "peers/messages.h"
@@ -36,10 +38,6 @@
 // The leader's book has everything; a holder's only a block of machines and the jobs lent with it.
 enum class Role { leader, holder };
 
-// How long a node that cannot reach the state service may go on answering workers: a cancellation
-// that it cannot know of must still be over within cancel_s.
-Millis answer_bound(const wire::Settings& s);
-
 struct CheckinAnswer {
     int status = 200;    // 200, 421, 503
     std::string holder;  // with 421: who answers for the machine
@@ -59,6 +57,8 @@
     // Recovery, before anything else.
     void load_types(const std::vector<wire::MachineType>& types);
     void load_block(std::uint32_t n, blocks::Block block);
+    // Before the blocks: the leader before this one had not heard the zone's machines since then.
+    void expect_lost(const std::string& zone, Millis since);
     void load_job(const jobs::OpenRecord& record, std::uint64_t version, std::int64_t wall_ms,
                   Millis now);
     void load_run(const std::string& id, std::uint32_t chunk, const jobs::RunRecord& record,
@@ -75,7 +75,8 @@
     void on_open_dropped(const std::string& id, Millis now);
 
     CheckinAnswer on_checkin(const wire::Report& report, Millis now);
-    void on_hosts(const std::vector<wire::Host>& hosts, Millis now);
+    // A whole list, asked for at that time.
+    void on_hosts(const std::vector<wire::Host>& hosts, Millis asked, Millis now);
     void tick(Millis now);
 
     // Sharing, the leader's side. A peer that can hold machines has been heard of; `clock_ms` is
@@ -84,6 +85,9 @@
     // The grants to send now; each renews a lease.
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
     void on_news(const peers::News& news, Millis now);
+    // The leaves to send now, to those that may answer machines when the leader is out of reach.
+    std::vector<std::pair<std::string, peers::Leave>> leaves(Millis view_fresh, Millis now);
+    std::vector<peers::Status::Lost> lost_zones(Millis now) const;
     void set_options(const admin::Options& options) { options_ = options; }
 
     // Sharing, the holder's side.
@@ -104,8 +108,8 @@
         std::size_t machines[7] = {};
     };
     Summary summary() const;
-    // Most machines have fallen silent at once: rather this node's trouble than theirs.
-    bool cut_off() const { return up_ >= 3 && silent_ * 2 > up_; }
+    // Most machines of every zone have fallen silent: rather this node's trouble than theirs.
+    bool cut_off() const { return domains_.alone(); }
 
     void set_metrics(admin::Metrics* metrics) { metrics_ = metrics; }
     // The jobs that wait, with the reason, and those past or about to pass an objective.
@@ -176,7 +180,6 @@
     void absorb(Machine& m, const wire::Report& r, Millis now);
     void see(Attempt& a, const wire::TaskReport& t, Machine& m, Millis now);
     void join(Machine& m, Millis now);
-    void set_silent(Machine& m, bool silent);
     bool newer_leader(const wire::Report& r);
 
     // commands.cpp
@@ -226,6 +229,15 @@
     jobs::Urgency urgency(const Job& j, Millis now) const;
     std::optional<Millis> start_due(const Job& j, const wire::Objective& o) const;
 
+    // silence.cpp
+    void set_silent(Machine& m, bool silent);
+    void set_shaded(Machine& m, bool shaded);
+    void look_at_domains(Millis now);
+    void give_up_silent(Machine& m, Millis now);
+    Millis likely_end(const Machine& m) const;
+    bool movable(const Machine& m, const Attempt& a);
+    void miss_from_list(const std::vector<wire::Host>& hosts, Millis asked, Millis now);
+
     // overview.cpp
     std::string why_waiting(const Job& j, Millis now) const;
 
@@ -343,8 +355,11 @@
     Agenda machine_agenda_;
     std::set<Index> coming_, returning_;      // machines booting or joining; to be given back
     std::vector<std::uint32_t> machines_in_;  // by zone
-    std::size_t up_ = 0, silent_ = 0;         // machines that report, and those that have ceased to
-    std::size_t sought_from_ = 0;             // where the search for victims goes on
+    domains::Domains domains_;                // machines that report, and those that have ceased to
+    std::set<Index> silent_;                  // those
+    deputy::Deputies deputies_;
+    std::map<Index, Millis> lost_since_;  // by zone, as the leader before this one saw it
+    std::size_t sought_from_ = 0;         // where the search for victims goes on
     blocks::Ledger ledger_;
     bool blocks_in_flight_ = false;
     Millis retry_blocks_at_ = 0, next_blocks_at_ = 0;
--- a/src/dispatch/holding.cpp
+++ b/src/dispatch/holding.cpp
@@ -111,7 +111,7 @@
 
 CheckinAnswer Holding::on_checkin(const wire::Report& report, Millis now) {
     // Whoever cannot know of a cancellation must let the leases run out in time.
-    if (now - view_fresh_ > answer_bound(settings_)) return {503, "", 0, {}};
+    if (now - view_fresh_ > deputy::answer_bound(settings_)) return {503, "", 0, {}};
     return book_->on_checkin(report, now);
 }
 
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -15,14 +15,15 @@
 constexpr Millis kRetryCommit = 300;
 }
 
-Millis answer_bound(const wire::Settings& s) {
-    // The worker's clock may be the slow one: its lease then lasts a little longer than ours says.
-    return std::max<Millis>(0, shorter(seconds(s.cancel_s)) - longer(seconds(s.lease_s)) - 1500);
-}
-
 Dispatcher::Dispatcher(const wire::Settings& settings, TermInfo term, Outbox& outbox, Millis now,
                        Role role)
-    : settings_(settings), term_(std::move(term)), outbox_(outbox), role_(role), began_(now) {
+    : settings_(settings),
+      term_(std::move(term)),
+      outbox_(outbox),
+      role_(role),
+      began_(now),
+      domains_(settings.report_s, settings.lease_s),
+      deputies_(settings) {
     inherited_token_ = blocks::term_token(term_.number) - 1;
     for (const wire::Team& t : settings.teams) {
         team_names_.add(t.name);
@@ -34,7 +35,7 @@
     ledger_.begin(term_.number, settings.name);
     // An earlier leader may have gone on answering for a while after it lost the state service.
     inherited_lease_until_ =
-        now + longer(answer_bound(settings) + seconds(settings.lease_s)) + 1000;
+        now + longer(deputy::answer_bound(settings) + seconds(settings.lease_s)) + 1000;
 }
 
 void Dispatcher::load_types(const std::vector<wire::MachineType>& types) {
@@ -47,12 +48,17 @@
     dirty_ = true;
 }
 
+void Dispatcher::expect_lost(const std::string& zone, Millis since) {
+    lost_since_[zone_names_.add(zone)] = since;
+}
+
 void Dispatcher::load_block(std::uint32_t n, blocks::Block block) {
     for (const blocks::Member& b : block.members) {
         Machine* m = adopt(b.name, began_);
         identify(*m, b.address, b.type, b.zone, b.spot);
         m->up_at = began_;
-        m->heard_at = began_;
+        auto lost = lost_since_.find(m->zone);
+        m->heard_at = lost == lost_since_.end() ? began_ : std::min(began_, lost->second);
         m->lease_until = inherited_lease_until_;
         m->wants_confirm = true;
         set_machine_state(*m, MachineState::joining);
@@ -108,6 +114,10 @@
         // Only a report under a token given since then can show that it is not there.
         a->token = inherited_token_;
         a->session = UINT64_MAX;
+        if (m->type != kNone) {
+            // Its image is likely there still, whatever has become of the task.
+            placing::touch_image(*m, types_[m->type], j->image, j->spec.image_gb, true, now);
+        }
         link_start(*j, *a);
         a->place = static_cast<std::uint32_t>(j->attempts.size());
         occupy(*a, *j, *m);
--- a/src/dispatch/overview.cpp
+++ b/src/dispatch/overview.cpp
@@ -17,7 +17,7 @@
     std::size_t suited = 0, coming = 0;
     for (const Machine* m : roster_.all()) {
         if (m->type == kNone || !allowed(j, *m)) continue;
-        if (m->usable()) ++suited;
+        if (m->open()) ++suited;
         if (m->state == MachineState::booting || m->state == MachineState::joining) ++coming;
         if (m->reserved_for == j.index && now < m->reserved_until)
             return "room is being made for it";
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -25,11 +25,6 @@
     dirty_ = true;
 }
 
-void Dispatcher::set_silent(Machine& m, bool silent) {
-    if (silent != m.silent) silent_ += silent ? 1 : -1;
-    m.silent = silent;
-}
-
 // A machine that the book did not have: a late hire, another term's, or one named by a record.
 Dispatcher::Machine* Dispatcher::adopt(const std::string& name, Millis now) {
     if (Machine* known = roster_.find(name)) return known;
@@ -91,7 +86,9 @@
     m.seen_token = r.token;
     m.heard_at = now;
     if (m.up_at == 0) m.up_at = now;
+    if (m.silent || m.shaded) m.retry_direct_at = now;  // it can be reached again
     set_silent(m, false);
+    set_shaded(m, false);
     if (new_session) spdlog::info("machine {} lost its lease and its tasks", m.name);
 
     std::vector<Attempt*> unseen = m.attempts;
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -262,7 +262,7 @@
 
 // May a task of it start there now?
 bool Dispatcher::may_get(const Job& j, const Machine& m, const Need& need, Millis now) const {
-    if (!m.usable() || !allowed(j, m) || now < m.probation_until) return false;
+    if (!m.open() || !allowed(j, m) || now < m.probation_until) return false;
     if (m.reserved_for != kNone && m.reserved_for != j.index && now < m.reserved_until)
         return false;
     return placing::covers(m.cpus_free, m.gpus_free, m.memory_free, need);
@@ -481,7 +481,7 @@
     std::uint32_t coming = 0;  // room that is being made already
     for (Index i : j.reserved) {
         Machine& m = *roster_.at(i);
-        if (!m.usable() || now >= m.reserved_until) continue;
+        if (!m.open() || now >= m.reserved_until) continue;
         Room r = room_of(m);
         coming += placing::how_many(r.cpus, r.gpus, r.memory_gb, need, tasks);
     }
@@ -505,7 +505,7 @@
     const std::size_t looks = std::min(all.size(), kMostSearched);
     for (std::size_t k = 0; k < looks; ++k) {
         Machine* m = all[(sought_from_ + k) % all.size()];
-        if (!m->usable() || !allowed(j, *m) || now < m->probation_until) continue;
+        if (!m->open() || !allowed(j, *m) || now < m->probation_until) continue;
         if (fixed_zone != kNone && m->zone != fixed_zone) continue;
         // Room where the job is not placed would be waited for in vain.
         if (leaves_alone(j, *m) || kept_for_replicas(j, *m, kept)) continue;
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -38,6 +38,7 @@
 }  // namespace
 
 void Dispatcher::peer_heard(const peers::Status& s, Millis now) {
+    deputies_.heard(s, term_.number, now);
     peers_[s.from] = {s.incarnation, s.clock_ms, s.state_age_ms < kServed, now};
 }
 
@@ -217,6 +218,14 @@
     return out;
 }
 
+std::vector<std::pair<std::string, peers::Leave>> Dispatcher::leaves(Millis view_fresh,
+                                                                     Millis now) {
+    if (!confirmed_) return {};
+    std::vector<std::uint64_t> lent;
+    for (const auto& [block, l] : leases_) lent.push_back(ledger_.block(block).token);
+    return deputies_.leaves(term_.number, ledger_.highest(), lent, view_fresh, now);
+}
+
 void Dispatcher::on_news(const peers::News& news, Millis now) {
     for (auto& [block, l] : leases_) {
         if (l.holder != news.from || ledger_.block(block).token != news.token) continue;
@@ -259,7 +268,7 @@
             m->heard_at = now;
             m->session = m->seq = 0;  // the holder has heard more than this book
             m->lease_until =
-                now + longer(answer_bound(settings_) + seconds(settings_.lease_s)) + 1000;
+                now + longer(deputy::answer_bound(settings_) + seconds(settings_.lease_s)) + 1000;
             m->wants_confirm = true;
             set_machine_state(*m, MachineState::joining);
             poke(*m);
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -64,6 +64,7 @@
     for (Index i : coming_) {
         const Machine& m = *roster_.at(i);
         if (m.type == kNone) continue;
+        if (domains_.shut(m.zone)) continue;  // nothing can be started there for now
         bool late = now - m.hired_at > seconds(types_[m.type].boot_s * kLate);
         if (m.state == MachineState::joining || !late) add_bin(m.type, m.zone, m.spot);
     }
@@ -91,7 +92,7 @@
             if (j.allowed_type[t] == 0 || fits == 0) continue;
             for (const std::string& zone_name : type.zones) {
                 Index z = zone_names_.find(zone_name);
-                if ((zone != kNone && z != zone) || !zone_ok(z)) continue;
+                if ((zone != kNone && z != zone) || !zone_ok(z) || domains_.shut(z)) continue;
                 for (bool spot : {true, false}) {
                     if (spot && (!j.spec.spot || options_.use_spot == 0)) continue;
                     if (!at_any_price && dear(j, t, spot)) continue;
@@ -116,6 +117,7 @@
             Index z = zone_names_.find(name);
             auto it = offers_.find({type, z, spot});
             if (it != offers_.end() && now < it->second.blocked_until) continue;
+            if (domains_.shut(z)) continue;
             if (!best || there[z] < there[*best]) best = z;
         }
         return best;
@@ -370,7 +372,7 @@
     if (now >= next_pass_) schedule(now);
 }
 
-void Dispatcher::on_hosts(const std::vector<wire::Host>& hosts, Millis now) {
+void Dispatcher::on_hosts(const std::vector<wire::Host>& hosts, Millis asked, Millis now) {
     for (const wire::Host& h : hosts) {
         if (roster_.buried(h.id)) continue;  // the list lags behind its return
         Machine* m = roster_.find(h.id);
@@ -380,6 +382,7 @@
             spdlog::info("machine {} of the list was not in the book", h.id);
         }
         identify(*m, h.address, h.type, h.zone, h.spot);
+        if (m->listed_at == 0) m->listed_at = now;
         if (h.status == wire::HostStatus::failed)
             return_machine(*m, "failed");
         else if (h.status == wire::HostStatus::running && m->state == MachineState::booting &&
@@ -387,6 +390,7 @@
             m->listed_running_at = now;
         }
     }
+    if (role_ == Role::leader) miss_from_list(hosts, asked, now);
 }
 
 // Does a task of it take most of a machine, and wait for nobody?
@@ -563,7 +567,7 @@
     // answer to the return is what proves the machine gone.
     const Millis probe_after = seconds(1.25 * settings_.report_s) + kReportSlack;
     const Millis give_up = probe_after + kProbing;
-    const bool blind = cut_off();
+    const bool blind = domains_.sky(m.zone) != domains::Sky::clear;
     const Millis silent = now - m.heard_at;
     bool well = m.usable() && !m.empty() && silent < probe_after - kWatchBusy;
     machine_agenda_.by(m.index, now + (well ? kWatchBusy : kWatchOther));
@@ -588,8 +592,8 @@
         }
         return;
     }
-    // Counted before any is given up: a leader that is cut off must see that it is most of them
-    // before it returns the first.
+    // Counted before any is given up: that many fall silent together must be seen before the first
+    // is returned.
     if (m.up && silent > probe_after) set_silent(m, true);
     if (silent > probe_after && !m.direct_in_flight && now >= m.retry_direct_at &&
         m.state != MachineState::gone) {
@@ -597,8 +601,8 @@
         m.retry_direct_at = now;
         poke(m);
     }
-    if (silent > give_up && m.direct_failures > 1 && !blind) return_machine(m, "is silent");
-    if (now > m.lease_until && silent > seconds(settings_.lease_s)) {
+    if (silent > give_up && m.direct_failures > 1) give_up_silent(m, now);
+    if (silent > seconds(settings_.lease_s) && deputies_.over(m.lease_until, now)) {
         // Whatever it had, it has killed by itself.
         while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
     }
@@ -609,8 +613,7 @@
     }
     if (m.idle_since == 0) m.idle_since = now;
     bool over = m.state == MachineState::draining && m.warned_until == 0;
-    if (m.state == MachineState::ready && m.reserved_for == kNone &&
-        now - m.idle_since > idle_keep(m, now)) {
+    if (m.open() && m.reserved_for == kNone && now - m.idle_since > idle_keep(m, now)) {
         return_machine(m, "is idle");
     } else if (over) {
         return_machine(m, "is drained");
@@ -659,6 +662,7 @@
 
 void Dispatcher::tick(Millis now) {
     if (!started_ || deposed_) return;
+    look_at_domains(now);
     watch_machines(now);
     if (role_ == Role::leader) {
         consolidate(now);
--- a/src/peers/mesh.cpp
+++ b/src/peers/mesh.cpp
@@ -198,6 +198,9 @@
         case Kind::news:
             if (auto m = read_news(f.body)) return hooks_.news(*m);
             return refuse("news that cannot be read");
+        case Kind::leave:
+            if (auto m = read_leave(f.body)) return hooks_.leave(*m);
+            return refuse("a leave that cannot be read");
     }
     refuse("kind " + std::to_string(f.kind));  // of a later version
 }
--- a/src/peers/mesh.h
+++ b/src/peers/mesh.h
@@ -23,6 +23,7 @@
         std::function<void(const Status&)> status;
         std::function<void(const Grant&)> grant;
         std::function<void(const News&)> news;
+        std::function<void(const Leave&)> leave;
     };
     Mesh(uv_loop_t* loop, const std::vector<wire::Peer>& peers, Hooks hooks);
     ~Mesh();
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -15,6 +15,12 @@
         w.number(p.done);
         w.number(p.running);
     }
+    for (std::uint64_t v : {m.leave_term, m.leave_clock_ms, m.answered_age_ms}) w.number(v);
+    w.number(m.lost.size());
+    for (const auto& l : m.lost) {
+        w.text(l.zone);
+        w.number(l.age_ms);
+    }
     return frame(static_cast<std::uint64_t>(Kind::status), w);
 }
 
@@ -34,6 +40,16 @@
         m.progress.push_back(std::move(p));
     }
     if (!r.good() || m.from.empty()) return std::nullopt;
+    if (!r.rest().empty()) {  // earlier versions end here
+        for (std::uint64_t* v : {&m.leave_term, &m.leave_clock_ms, &m.answered_age_ms}) {
+            *v = r.number();
+        }
+        for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) {
+            std::string zone = r.text();
+            m.lost.push_back({std::move(zone), r.number()});
+        }
+        if (!r.good()) return std::nullopt;
+    }
     return m;
 }
 
@@ -123,4 +139,29 @@
     return m;
 }
 
+std::string encode(const Leave& m) {
+    Writer w;
+    w.text(m.from);
+    for (std::uint64_t v :
+         {m.term, m.incarnation, m.asked_ms, m.view_age_ms, m.clock_ms, m.highest}) {
+        w.number(v);
+    }
+    w.number(m.lent.size());
+    for (std::uint64_t token : m.lent) w.number(token);
+    return frame(static_cast<std::uint64_t>(Kind::leave), w);
+}
+
+std::optional<Leave> read_leave(std::string_view body) {
+    Reader r(body);
+    Leave m;
+    m.from = r.text();
+    for (std::uint64_t* v :
+         {&m.term, &m.incarnation, &m.asked_ms, &m.view_age_ms, &m.clock_ms, &m.highest}) {
+        *v = r.number();
+    }
+    for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) m.lent.push_back(r.number());
+    if (!r.good() || m.from.empty() || m.term == 0) return std::nullopt;
+    return m;
+}
+
 }  // namespace nickelramp::peers
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -10,7 +10,7 @@
 
 namespace nickelramp::peers {
 
-enum class Kind : std::uint64_t { status = 1, grant = 2, news = 3 };
+enum class Kind : std::uint64_t { status = 1, grant = 2, news = 3, leave = 4 };
 
 // To everybody, every second.
 struct Status {
@@ -24,6 +24,28 @@
         std::uint64_t done = 0, running = 0;
     };
     std::vector<Progress> progress;
+    // The last leave that the sender got, and how long ago it last answered a machine by it, plus
+    // one; 0: never.
+    std::uint64_t leave_term = 0, leave_clock_ms = 0, answered_age_ms = 0;
+    // Zones that the sender, as leader, has lost, and for how long: its successor knows as much.
+    struct Lost {
+        std::string zone;
+        std::uint64_t age_ms = 0;
+    };
+    std::vector<Lost> lost;
+};
+
+// Leader to every controller, every second: it may answer machines in the leader's name when it
+// hears nobody else (src/deputy).
+struct Leave {
+    std::string from;
+    std::uint64_t term = 0;
+    std::uint64_t incarnation = 0;    // of the process that it is for
+    std::uint64_t asked_ms = 0;       // clock of the status that this answers
+    std::uint64_t view_age_ms = 0;    // how old the leader's knowledge of cancellations is
+    std::uint64_t clock_ms = 0;       // the leader's; comes back in the next status
+    std::uint64_t highest = 0;        // no token beyond it was granted by then
+    std::vector<std::uint64_t> lent;  // tokens of blocks that others hold
 };
 
 // Leader to holder, renewed every second: a block of machines, and the jobs to run on them.
@@ -61,9 +83,11 @@
 std::string encode(const Status& m);  // whole frames
 std::string encode(const Grant& m);
 std::string encode(const News& m);
+std::string encode(const Leave& m);
 // Nothing for messages that cannot be read.
 std::optional<Status> read_status(std::string_view body);
 std::optional<Grant> read_grant(std::string_view body);
 std::optional<News> read_news(std::string_view body);
+std::optional<Leave> read_leave(std::string_view body);
 
 }  // namespace nickelramp::peers
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -65,10 +65,11 @@
 struct Txn {
     std::vector<Condition> conditions;
     std::vector<Write> writes;
+    bool pressing = false;  // before other work
 };
 
 // What goes first when the budget is short.
-enum class Urgency { user, control, work };
+enum class Urgency { user, control, pressing, work };
 
 struct Limits {
     double requests_per_s = 0;
@@ -79,6 +80,9 @@
   public:
     Client(uv_loop_t* loop, const sockaddr_in& address, const std::string& host, Limits limits);
 
+    // Of the one budget that all controllers share.
+    void set_limits(Limits limits) { limits_ = limits; }
+
     using GetDone = std::function<void(const GetReply&)>;
     using ListDone = std::function<void(ListReply)>;
     using CommitDone = std::function<void(const CommitReply&)>;
@@ -123,7 +127,7 @@
     double requests_left_;
     double writes_left_;
     Millis filled_;
-    std::deque<Call> queues_[3];
+    std::deque<Call> queues_[4];  // by urgency
     net::Timer timer_;
     Millis last_answer_ = 0;
     Millis refused_since_ = -1;
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -82,10 +82,14 @@
     bool spare = false;                // a whole-machine task could have it within seconds
     bool up = false;                   // reports, or should
     bool silent = false;               // has missed reports
+    bool shaded = false;               // not heard since its zone went dark
+    Millis listed_at = 0;              // first seen in the cloud's list
 
     void set_state(MachineState s) { state = s; }
     bool confirmed() const { return token != 0 && seen_token == token; }
     bool usable() const { return state == MachineState::ready; }
+    // May be given tasks, and answers.
+    bool open() const { return usable() && !silent && !shaded; }
     bool empty() const { return live == 0; }
 };
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -132,7 +132,7 @@
         n->leads = false;
         if (chance(trouble_.linger)) {
             n->book->set_confirmed(false);
-            n->answers_until = now_ + dispatch::answer_bound(settings_);
+            n->answers_until = now_ + deputy::answer_bound(settings_);
         } else {
             n->book.reset();
         }
@@ -188,7 +188,7 @@
             hosts.push_back({name, name, m->type, m->zone, m->spot,
                              m->up ? wire::HostStatus::running : wire::HostStatus::booting, 1});
         }
-        n.book->on_hosts(hosts, now_);
+        n.book->on_hosts(hosts, now_, now_);
     }
     at(now_ + 100, [this, i] { tick_node(i); });
 }
