A block that is taken back gives nothing and stops nothing before its jobs' records are read

Between the taking back of a lent block and the reading of its jobs' records the book knew none of their tasks: check-ins had them stopped as strays, and the machines, empty by the book, were lent again or returned as idle with what ran there. The lease now ends in a state of its own, reading, in which its machines stay joining. Test: TasksOfABlockThatIsTakenBackRunOn (fails without either). Connections share net/stream.h; unused times of three calls are gone.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -96,7 +96,7 @@
             {[this](const peers::Status& s) { heard(s); },
              [this](const peers::Grant& g) { granted(g); },
              [this](const peers::News& n) {
-                 if (book_ == Book::running) dispatcher_->on_news(n, now());
+                 if (book_ == Book::running) dispatcher_->on_news(n);
              },
              [this](const peers::Leave& l) {
                  leader_heard_at_ = now();
@@ -361,7 +361,7 @@
         open_revision_ = std::max(open_revision_, r.revision);
         for (const auto& i : r.items) {
             if (i.deleted) {
-                dispatcher_->on_open_dropped(jobs::id_of_open_key(i.key), now());
+                dispatcher_->on_open_dropped(jobs::id_of_open_key(i.key));
                 continue;
             }
             if (auto rec = jobs::read_open(i.value)) {
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -42,6 +42,8 @@
             return a->number == t.attempt && a->task == t.task && job_of(*a).spec.id == t.job;
         });
         if (known) continue;
+        // Its block was taken back and its records are being read: they will name the task.
+        if (const Job* j = find_job(t.job); j != nullptr && j->lent_to != kNone) continue;
         bool exited = t.phase == wire::TaskPhase::exited;
         if (!exited)
             spdlog::info("stray task {}/{} try {} on {}", t.job, t.task, t.attempt, m.name);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -72,7 +72,7 @@
     void set_confirmed(bool confirmed) { confirmed_ = confirmed; }
 
     // An open record has gone: whoever held the job has finished it.
-    void on_open_dropped(const std::string& id, Millis now);
+    void on_open_dropped(const std::string& id);
 
     CheckinAnswer on_checkin(const wire::Report& report, Millis now);
     // A whole list, asked for at that time.
@@ -84,7 +84,7 @@
     void peer_heard(const peers::Status& status, Millis now);
     // The grants to send now; each renews a lease.
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
-    void on_news(const peers::News& news, Millis now);
+    void on_news(const peers::News& news);
     // The leaves to send now, to those that may answer machines when the leader is out of reach.
     std::vector<std::pair<std::string, peers::Leave>> leaves(Millis view_fresh, Millis now);
     Millis answer_for() const { return deputies_.answer_for(); }
@@ -253,8 +253,9 @@
         double cpus = 0, gpus = 0, memory_gb = 0;
     };
     // wanted: its record is being written; granted: leases are sent; ending: no more are sent, and
-    // once the last has run out the block is taken back; reclaimed: its record is being rewritten
-    enum class LeaseState { wanted, granted, ending, reclaimed };
+    // once the last has run out the block is taken back; reclaimed: its record is being rewritten;
+    // reading: its jobs' records are read, until then its machines get nothing
+    enum class LeaseState { wanted, granted, ending, reclaimed, reading };
     struct Lease {
         std::string holder;
         std::uint64_t incarnation = 0;
@@ -269,7 +270,8 @@
     bool lend_job(Job& j, Millis now);
     void check_leases(Millis now);
     void block_committed(std::uint32_t block, Millis now);
-    void take_job_back(Job& j, Millis now);
+    void take_job_back(Job& j);
+    void finish_reading(std::uint32_t block);
     void job_left(Job& j);
     void complete_load(Job& j, Millis now);
 
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -100,6 +100,10 @@
             j->waiting.push_back({e.task, e.attempt});
             continue;
         }
+        if (roster_.buried(e.machine)) {  // gone meanwhile, with all on it
+            if (!j->gang()) j->waiting.push_back({e.task, e.attempt});
+            continue;
+        }
         // It may be there: it counts until proven gone.
         Machine* m = adopt(e.machine, now);
         if (m->state == MachineState::booting) m->lease_until = inherited_lease_until_;
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -173,7 +173,7 @@
         ledger_.add({m.name, m.address, types_[m.type].name, zone_names_.name(m.zone), m.spot});
         m.token = std::max(m.token, ledger_.token_of(m.name));
     }
-    if (m.state == MachineState::joining && m.granted) {
+    if (m.state == MachineState::joining && m.granted && !m.unread) {
         if (m.confirmed()) {
             set_machine_state(m, MachineState::ready);
         } else {
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -43,7 +43,7 @@
 }
 
 void Dispatcher::set_lease_state(std::uint32_t block, Lease& l, LeaseState s) {
-    static const char* names[] = {"wanted", "granted", "ending", "reclaimed"};
+    static const char* names[] = {"wanted", "granted", "ending", "reclaimed", "reading"};
     spdlog::info("block {} of {}: {} -> {}", block, l.holder, names[static_cast<int>(l.state)],
                  names[static_cast<int>(s)]);
     l.state = s;
@@ -110,8 +110,23 @@
     }
     if (l.state != LeaseState::reclaimed) return;
     // The holder's transactions fail from here on: what its records say now is what can be.
-    for (const std::string& id : l.jobs) {
-        if (Job* j = find_job(id)) take_job_back(*j, now);
+    // Its machines seem empty until then: they were once returned as idle, or lent again.
+    set_lease_state(block, l, LeaseState::reading);
+    std::erase_if(l.jobs, [this](const std::string& id) { return find_job(id) == nullptr; });
+    for (const std::string& id : l.jobs) take_job_back(*find_job(id));
+    finish_reading(block);
+}
+
+void Dispatcher::finish_reading(std::uint32_t block) {
+    auto it = leases_.find(block);
+    if (it == leases_.end() || it->second.state != LeaseState::reading) return;
+    if (!it->second.jobs.empty()) return;
+    for (const Room& r : it->second.room) {
+        Machine* m = roster_.at(r.machine);
+        if (m == nullptr) continue;
+        m->unread = false;
+        m->wants_confirm = true;  // its answer makes it ready
+        poke(*m);
     }
     leases_.erase(it);
 }
@@ -176,11 +191,12 @@
     }
 }
 
-void Dispatcher::on_open_dropped(const std::string& id, Millis now) {
-    (void)now;
+void Dispatcher::on_open_dropped(const std::string& id) {
     Job* j = find_job(id);
     if (j == nullptr || j->lent_to == kNone) return;
+    const std::uint32_t block = j->lent_to;
     job_left(*j);
+    finish_reading(block);
     set_job_state(*j, JobState::finished);
     maybe_drop(id);
 }
@@ -226,7 +242,7 @@
     return deputies_.leaves(term_.number, ledger_.highest(), lent, view_fresh, now);
 }
 
-void Dispatcher::on_news(const peers::News& news, Millis now) {
+void Dispatcher::on_news(const peers::News& news) {
     for (auto& [block, l] : leases_) {
         if (l.holder != news.from || ledger_.block(block).token != news.token) continue;
         for (const peers::News::Job& n : news.jobs) {
@@ -239,7 +255,6 @@
             set_lease_state(block, l, LeaseState::ending);  // the leader looks after them itself
         }
     }
-    (void)now;
 }
 
 // Ends leases that are idle, wanted elsewhere or no longer renewed, and takes their blocks back.
@@ -270,22 +285,24 @@
             m->lease_until =
                 now + longer(deputy::longest_answer(settings_) + seconds(settings_.lease_s)) + 1000;
             m->wants_confirm = true;
+            m->unread = true;
             set_machine_state(*m, MachineState::joining);
             poke(*m);
         }
     }
 }
 
-void Dispatcher::take_job_back(Job& j, Millis now) {
+void Dispatcher::take_job_back(Job& j) {
     std::uint64_t theirs = ledger_.block(j.lent_to).token - 1;  // at most: grants follow each other
     outbox_.list("run/" + j.spec.id + "/",
                  guarded([this, id = j.spec.id, theirs](Millis t, const state::ListReply& reply) {
                      Job* job = find_job(id);
                      if (job == nullptr || job->lent_to == kNone) return;
                      if (reply.outcome != state::Outcome::ok) {
-                         take_job_back(*job, t);
+                         take_job_back(*job);
                          return;
                      }
+                     const std::uint32_t block = job->lent_to;
                      job_left(*job);
                      job->chunks.clear();
                      job->waiting.clear();
@@ -300,9 +317,9 @@
                          }
                      }
                      complete_load(*job, t);
+                     finish_reading(block);
                      flush_poked(t);
                  }));
-    (void)now;
 }
 
 // --- the holder's side
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "net/stream.h"
+
 namespace nickelramp::net {
 
 namespace {
@@ -16,10 +18,7 @@
   public:
     enum class State { connecting, idle, waiting, closed };
 
-    explicit ClientConnection(HttpClient* client) : client_(client), tcp_(new uv_tcp_t) {
-        uv_tcp_init(client->loop_, tcp_);
-        tcp_->data = this;
-    }
+    explicit ClientConnection(HttpClient* client) : client_(client), stream_(client->loop_) {}
 
     State state() const { return state_; }
     Millis deadline() const { return deadline_; }
@@ -27,22 +26,8 @@
     void connect(HttpClient::Pending first) {
         take(std::move(first));
         connect_deadline_ = static_cast<Millis>(uv_now(client_->loop_)) + kConnectTimeout;
-        struct Connect {
-            uv_connect_t req;
-            std::weak_ptr<ClientConnection> owner;
-        };
-        auto* r = new Connect{{}, weak_from_this()};
-        r->req.data = r;
-        int rc =
-            uv_tcp_connect(&r->req, tcp_, reinterpret_cast<const sockaddr*>(&client_->address_),
-                           [](uv_connect_t* req, int status) {
-                               std::unique_ptr<Connect> r(static_cast<Connect*>(req->data));
-                               if (auto c = r->owner.lock()) c->connected(status);
-                           });
-        if (rc < 0) {
-            delete r;
-            fail_soon_ = true;
-        }
+        fail_soon_ = !stream_.connect(weak_from_this(), client_->address_,
+                                      [](ClientConnection& c, int status) { c.connected(status); });
     }
 
     void send(HttpClient::Pending next) {
@@ -63,9 +48,31 @@
     void close() {
         if (state_ == State::closed) return;
         set_state(State::closed);
-        tcp_->data = nullptr;
-        uv_close(reinterpret_cast<uv_handle_t*>(tcp_),
-                 [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+        stream_.close();
+    }
+
+    void on_bytes(const char* data, ssize_t n) {
+        if (state_ == State::idle) {  // closed by the server, or talking out of turn
+            close();
+            client_->drop(this);
+            return;
+        }
+        if (n < 0) {
+            http_parser_execute(&parser_, &settings(), nullptr, 0);
+            if (!complete_) {
+                finish_failed(Reply::Outcome::unknown);
+                return;
+            }
+        } else {
+            std::size_t used =
+                http_parser_execute(&parser_, &settings(), data, static_cast<std::size_t>(n));
+            if (!complete_ &&
+                (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used != static_cast<std::size_t>(n))) {
+                finish_failed(Reply::Outcome::unknown);
+                return;
+            }
+        }
+        if (complete_) finish_answered(n >= 0 && keep_alive_);
     }
 
   private:
@@ -87,68 +94,19 @@
             finish_failed(Reply::Outcome::refused);
             return;
         }
-        uv_tcp_nodelay(tcp_, 1);
-        uv_read_start(
-            reinterpret_cast<uv_stream_t*>(tcp_),
-            [](uv_handle_t*, std::size_t, uv_buf_t* buf) {
-                static char shared[64 * 1024];
-                *buf = uv_buf_init(shared, sizeof shared);
-            },
-            [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
-                auto* c = static_cast<ClientConnection*>(s->data);
-                if (c == nullptr || n == 0) return;
-                auto keep = c->shared_from_this();
-                c->read(buf->base, n);
-            });
+        stream_.read(this);
         write();
     }
 
     void write() {
         set_state(State::waiting);
-        struct Write {
-            uv_write_t req;
-            std::string data;
-            std::weak_ptr<ClientConnection> owner;
-        };
-        auto* w = new Write{{}, std::move(bytes_), weak_from_this()};
-        w->req.data = w;
-        uv_buf_t buf = uv_buf_init(w->data.data(), static_cast<unsigned>(w->data.size()));
-        int rc = uv_write(&w->req, reinterpret_cast<uv_stream_t*>(tcp_), &buf, 1,
-                          [](uv_write_t* req, int status) {
-                              std::unique_ptr<Write> w(static_cast<Write*>(req->data));
-                              auto c = w->owner.lock();
-                              if (c && status < 0 && c->state_ == State::waiting) {
-                                  c->finish_failed(Reply::Outcome::unknown);
-                              }
-                          });
-        if (rc < 0) {
-            delete w;
-            deadline_ = 0;  // fails at the next check
-        }
-    }
-
-    void read(const char* data, ssize_t n) {
-        if (state_ == State::idle) {  // closed by the server, or talking out of turn
-            close();
-            client_->drop(this);
-            return;
-        }
-        if (n < 0) {
-            http_parser_execute(&parser_, &settings(), nullptr, 0);
-            if (!complete_) {
-                finish_failed(Reply::Outcome::unknown);
-                return;
-            }
-        } else {
-            std::size_t used =
-                http_parser_execute(&parser_, &settings(), data, static_cast<std::size_t>(n));
-            if (!complete_ &&
-                (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used != static_cast<std::size_t>(n))) {
-                finish_failed(Reply::Outcome::unknown);
-                return;
-            }
-        }
-        if (complete_) finish_answered(n >= 0 && keep_alive_);
+        const bool sent = stream_.write(weak_from_this(), std::move(bytes_),
+                                        [](ClientConnection& c, int status, std::size_t) {
+                                            if (status < 0 && c.state_ == State::waiting) {
+                                                c.finish_failed(Reply::Outcome::unknown);
+                                            }
+                                        });
+        if (!sent) deadline_ = 0;  // fails at the next check
     }
 
     static const http_parser_settings& settings() {
@@ -198,7 +156,7 @@
     }
 
     HttpClient* client_;
-    uv_tcp_t* tcp_;
+    Stream stream_;
     State state_ = State::connecting;
     std::string bytes_;
     Millis deadline_ = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -3,6 +3,8 @@
 #include <http_parser.h>
 #include <spdlog/spdlog.h>
 
+#include "net/stream.h"
+
 namespace nickelramp::net {
 
 namespace {
@@ -17,19 +19,16 @@
   public:
     enum class State { reading, handling, closing };
 
-    explicit Connection(HttpServer* server) : server_(server), tcp_(new uv_tcp_t) {
-        uv_tcp_init(server->loop_, tcp_);
-        tcp_->data = this;
+    explicit Connection(HttpServer* server) : server_(server), stream_(server->loop_) {
         http_parser_init(&parser_, HTTP_REQUEST);
         parser_.data = this;
     }
 
-    uv_tcp_t* tcp() { return tcp_; }
+    uv_stream_t* handle() { return stream_.handle(); }
 
     void start() {
-        uv_tcp_nodelay(tcp_, 1);
         last_active_ = uv_now(server_->loop_);
-        uv_read_start(reinterpret_cast<uv_stream_t*>(tcp_), on_alloc, on_read);
+        stream_.read(this);
     }
 
     void send(const Response& r) {
@@ -59,38 +58,39 @@
     void close() {
         if (state_ == State::closing) return;
         set_state(State::closing);
-        tcp_->data = nullptr;
-        uv_close(reinterpret_cast<uv_handle_t*>(tcp_),
-                 [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+        stream_.close();
         server_->forget(this);  // may delete this
     }
 
     std::uint64_t last_active() const { return last_active_; }
 
-  private:
-    struct Write {
-        uv_write_t req;
-        std::string data;
-        std::weak_ptr<Connection> owner;
-        bool last;
-    };
+    void on_bytes(const char* data, ssize_t n) {
+        if (n < 0) {
+            close();
+            return;
+        }
+        last_active_ = uv_now(server_->loop_);
+        if (state_ == State::handling) {
+            // Requests are not pipelined; a little is tolerated, more is broken HTTP.
+            if (backlog_.size() + static_cast<std::size_t>(n) > kMaxBody + kMaxHeaders) {
+                close();
+                return;
+            }
+            backlog_.append(data, static_cast<std::size_t>(n));
+            return;
+        }
+        feed(data, static_cast<std::size_t>(n));
+    }
 
+  private:
     void set_state(State s) { state_ = s; }
 
     void write(std::string data, bool last) {
-        auto* w = new Write{{}, std::move(data), weak_from_this(), last};
-        w->req.data = w;
-        uv_buf_t buf = uv_buf_init(w->data.data(), static_cast<unsigned>(w->data.size()));
-        int rc = uv_write(&w->req, reinterpret_cast<uv_stream_t*>(tcp_), &buf, 1,
-                          [](uv_write_t* req, int status) {
-                              std::unique_ptr<Write> w(static_cast<Write*>(req->data));
-                              auto c = w->owner.lock();
-                              if (c && (status < 0 || w->last)) c->close();
-                          });
-        if (rc < 0) {
-            delete w;
-            close();
-        }
+        const bool sent = stream_.write(weak_from_this(), std::move(data),
+                                        [last](Connection& c, int status, std::size_t) {
+                                            if (status < 0 || last) c.close();
+                                        });
+        if (!sent) close();
     }
 
     // Answers a request that cannot be served and closes.
@@ -100,32 +100,6 @@
         send(Response{status, "", 0, "application/cbor"});
     }
 
-    static void on_alloc(uv_handle_t*, std::size_t, uv_buf_t* buf) {
-        static char shared[64 * 1024];
-        *buf = uv_buf_init(shared, sizeof shared);
-    }
-
-    static void on_read(uv_stream_t* stream, ssize_t n, const uv_buf_t* buf) {
-        auto* c = static_cast<Connection*>(stream->data);
-        if (c == nullptr || n == 0) return;
-        auto keep = c->shared_from_this();
-        if (n < 0) {
-            c->close();
-            return;
-        }
-        c->last_active_ = uv_now(c->server_->loop_);
-        if (c->state_ == State::handling) {
-            // Requests are not pipelined; a little is tolerated, more is broken HTTP.
-            if (c->backlog_.size() + static_cast<std::size_t>(n) > kMaxBody + kMaxHeaders) {
-                c->close();
-                return;
-            }
-            c->backlog_.append(buf->base, static_cast<std::size_t>(n));
-            return;
-        }
-        c->feed(buf->base, static_cast<std::size_t>(n));
-    }
-
     void feed(const char* data, std::size_t n) {
         static const http_parser_settings settings = [] {
             http_parser_settings s;
@@ -194,7 +168,7 @@
     }
 
     HttpServer* server_;
-    uv_tcp_t* tcp_;
+    Stream stream_;
     State state_ = State::reading;
     http_parser parser_;
     std::string target_;
@@ -239,8 +213,7 @@
 void HttpServer::accept() {
     auto c = std::make_shared<Connection>(this);
     connections_.emplace(c.get(), c);
-    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_),
-                  reinterpret_cast<uv_stream_t*>(c->tcp())) < 0) {
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), c->handle()) < 0) {
         c->close();
         return;
     }
--- a/src/peers/mesh.cpp
+++ b/src/peers/mesh.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "net/address.h"
+#include "net/stream.h"
 
 namespace nickelramp::peers {
 
@@ -16,82 +17,54 @@
 // idle: not connected; dialing; up; closed: to be forgotten
 struct Mesh::Line : std::enable_shared_from_this<Mesh::Line> {
     enum class State { dialing, up, closed };
-    uv_tcp_t* tcp = new uv_tcp_t;
+    net::Stream stream;
     State state = State::dialing;
     Framer framer;
     std::size_t unsent = 0;
     Millis deadline = 0;
     Mesh* mesh = nullptr;
 
-    explicit Line(Mesh* m) : mesh(m) {
-        uv_tcp_init(m->loop_, tcp);
-        tcp->data = this;
-    }
+    explicit Line(Mesh* m) : stream(m->loop_), mesh(m) {}
     void set_state(State s) { state = s; }
     void close() {
         if (state == State::closed) return;
         set_state(State::closed);
-        tcp->data = nullptr;
-        uv_close(reinterpret_cast<uv_handle_t*>(tcp),
-                 [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+        stream.close();
     }
     void opened() {
         set_state(State::up);
-        uv_tcp_nodelay(tcp, 1);
-        uv_read_start(
-            reinterpret_cast<uv_stream_t*>(tcp),
-            [](uv_handle_t*, std::size_t, uv_buf_t* buf) {
-                static char shared[64 * 1024];
-                *buf = uv_buf_init(shared, sizeof shared);
-            },
-            [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
-                auto* line = static_cast<Line*>(s->data);
-                if (line == nullptr || n == 0) return;
-                auto keep = line->shared_from_this();
-                Mesh* mesh = line->mesh;
-                if (n < 0) {
-                    line->close();
-                    mesh->in_.erase(keep);
-                    return;
-                }
-                line->framer.add({buf->base, static_cast<std::size_t>(n)});
-                while (auto f = line->framer.next()) {
-                    mesh->deliver(*f);
-                    if (line->state == State::closed) return;
-                }
-                if (line->framer.broken()) {
-                    mesh->refuse("a stream that cannot be followed");
-                    line->close();
-                    mesh->in_.erase(keep);
-                }
-            });
+        stream.read(this);
+    }
+    void on_bytes(const char* data, ssize_t n) {
+        auto keep = shared_from_this();
+        if (n < 0) {
+            close();
+            mesh->in_.erase(keep);
+            return;
+        }
+        framer.add({data, static_cast<std::size_t>(n)});
+        while (auto f = framer.next()) {
+            mesh->deliver(*f);
+            if (state == State::closed) return;
+        }
+        if (framer.broken()) {
+            mesh->refuse("a stream that cannot be followed");
+            close();
+            mesh->in_.erase(keep);
+        }
     }
     void write(const std::string& bytes) {
-        struct Write {
-            uv_write_t req;
-            std::string data;
-            std::weak_ptr<Line> owner;
-        };
         if (unsent + bytes.size() > kMostUnsent) {
             close();  // the peer does not read; the next connection starts afresh
             return;
         }
         unsent += bytes.size();
-        auto* w = new Write{{}, bytes, weak_from_this()};
-        w->req.data = w;
-        uv_buf_t buf = uv_buf_init(w->data.data(), static_cast<unsigned>(w->data.size()));
-        int rc = uv_write(&w->req, reinterpret_cast<uv_stream_t*>(tcp), &buf, 1,
-                          [](uv_write_t* req, int status) {
-                              std::unique_ptr<Write> w(static_cast<Write*>(req->data));
-                              auto line = w->owner.lock();
-                              if (!line) return;
-                              line->unsent -= w->data.size();
-                              if (status < 0) line->close();
-                          });
-        if (rc < 0) {
-            delete w;
-            close();
-        }
+        const bool sent =
+            stream.write(weak_from_this(), bytes, [](Line& line, int status, std::size_t n) {
+                line.unsent -= n;
+                if (status < 0) line.close();
+            });
+        if (!sent) close();
     }
 };
 
@@ -134,8 +107,7 @@
 
 void Mesh::accept() {
     auto line = std::make_shared<Line>(this);
-    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_),
-                  reinterpret_cast<uv_stream_t*>(line->tcp)) < 0 ||
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), line->stream.handle()) < 0 ||
         in_.size() >= kMostIncoming) {
         line->close();
         return;
@@ -151,27 +123,16 @@
     if (slot && slot->state != Line::State::closed) return;
     slot = std::make_shared<Line>(this);
     slot->deadline = now + kDialTimeout;
-    struct Connect {
-        uv_connect_t req;
-        std::weak_ptr<Line> owner;
-    };
-    auto* c = new Connect{{}, slot};
-    c->req.data = c;
-    sockaddr_in address = *net::parse_address(peers_[i].address);
-    int rc = uv_tcp_connect(&c->req, slot->tcp, reinterpret_cast<const sockaddr*>(&address),
-                            [](uv_connect_t* req, int status) {
-                                std::unique_ptr<Connect> c(static_cast<Connect*>(req->data));
-                                auto line = c->owner.lock();
-                                if (!line || line->state != Line::State::dialing) return;
-                                if (status < 0)
-                                    line->close();
-                                else
-                                    line->opened();
-                            });
-    if (rc < 0) {
-        delete c;
-        slot->close();
-    }
+    const bool dialing =
+        slot->stream.connect(std::weak_ptr<Line>(slot), *net::parse_address(peers_[i].address),
+                             [](Line& line, int status) {
+                                 if (line.state != Line::State::dialing) return;
+                                 if (status < 0)
+                                     line.close();
+                                 else
+                                     line.opened();
+                             });
+    if (!dialing) slot->close();
 }
 
 void Mesh::send(const std::string& peer, const std::string& frame) {
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -71,6 +71,7 @@
     Millis retry_direct_at = 0;
     std::uint32_t direct_failures = 0;
     bool granted = false;  // in a committed block record
+    bool unread = false;   // what was lent with it is not in the book yet
     bool poked = false;    // in the list of those that have something to be sent
 
     // Counted on by the roster's sums.
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -2,6 +2,8 @@
 // everything gets done.
 #include <gtest/gtest.h>
 
+#include <functional>
+
 #include "tests/world.h"
 
 namespace {
@@ -74,12 +76,18 @@
     return world.lent();
 }
 
-TEST(Dispatch, CalmDays) {
-    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        if (HasFailure()) return;
-        random_day(seed, {});
+// Days with these seeds, until one fails; how many grants holders took up.
+std::size_t random_days(std::uint64_t from, std::uint64_t to, Trouble trouble,
+                        const std::function<std::uint32_t(std::uint64_t)>& share) {
+    std::size_t lent = 0;
+    for (std::uint64_t seed = from; seed < to && !testing::Test::HasFailure(); ++seed) {
+        lent += random_day(seed, trouble, share(seed));
     }
+    return lent;
 }
+std::uint32_t none(std::uint64_t) { return 0; }
+
+TEST(Dispatch, CalmDays) { random_days(1, 5, {}, none); }
 
 TEST(Dispatch, LostAndLateMessages) {
     Trouble t;
@@ -87,10 +95,7 @@
     t.held_direct = 0.05;
     t.lost_commit = 0.1;
     t.lost_checkin = 0.1;
-    for (std::uint64_t seed = 10; seed < 22; ++seed) {
-        if (HasFailure()) return;
-        random_day(seed, t);
-    }
+    random_days(10, 22, t, none);
 }
 
 TEST(Dispatch, TakeOversWithLingeringLeaders) {
@@ -99,27 +104,16 @@
     t.linger = 0.6;
     t.held_direct = 0.05;
     t.lost_checkin = 0.05;
-    for (std::uint64_t seed = 30; seed < 42; ++seed) {
-        if (HasFailure()) return;
-        random_day(seed, t);
-    }
+    random_days(30, 42, t, none);
 }
 
 TEST(Dispatch, EverythingAtOnce) {
     Trouble t{0.08, 0.04, 0.08, 0.08, 0.3, 0.1, 0.02, 0.03, 0.5};
-    for (std::uint64_t seed = 50; seed < 66; ++seed) {
-        if (HasFailure()) return;
-        random_day(seed, t);
-    }
+    random_days(50, 66, t, none);
 }
 
 TEST(Dispatch, BlocksOfOtherHolders) {
-    std::size_t lent = 0;
-    for (std::uint64_t seed = 70; seed < 78; ++seed) {
-        if (HasFailure()) return;
-        lent += random_day(seed, {}, 1);
-    }
-    EXPECT_GT(lent, 50u);
+    EXPECT_GT(random_days(70, 78, {}, [](std::uint64_t) { return 1; }), 50u);
 }
 
 TEST(Dispatch, HoldersThatDieAndLoseTheLeader) {
@@ -132,12 +126,42 @@
     t.lost_direct = 0.05;
     t.lost_commit = 0.05;
     t.machine_dies = 0.01;
-    std::size_t lent = 0;
-    for (std::uint64_t seed = 80; seed < 100; ++seed) {
-        if (HasFailure()) return;
-        lent += random_day(seed, t, 1 + seed % 2);
+    auto share = [](std::uint64_t seed) { return static_cast<std::uint32_t>(1 + seed % 2); };
+    EXPECT_GT(random_days(80, 100, t, share), 50u);
+}
+
+// A check-in that came between the taking back of a block and the reading of its jobs' records once
+// showed tasks that the book did not know yet, and they were stopped as strays.
+TEST(Dispatch, TasksOfABlockThatIsTakenBackRunOn) {
+    std::size_t tried = 0;
+    for (std::uint64_t seed = 120; seed < 140 && !HasFailure(); ++seed) {
+        World world(seed, {}, 2);
+        auto lent_running = [&] {
+            std::uint64_t n = 0;
+            for (const auto& [id, j] : world.leader()->open_jobs()) {
+                if (j->lent_to != kNone) n += j->lent_running;
+            }
+            return n;
+        };
+        for (int n = 0; n < 300 && lent_running() == 0; ++n) {
+            if (n % 12 == 0) {
+                auto j = job("job-" + std::to_string(n), "sweep", n == 0 ? 16 : 2, 1);
+                j["standby"] = true;
+                world.submit(j);
+            }
+            world.run_until(world.now() + 500);
+        }
+        if (lent_running() == 0) continue;
+        ++tried;
+        const std::size_t stops = world.stops();
+        Trouble slow;
+        slow.slow_lists = 4'000;
+        world.begin(slow);
+        world.end_holders();
+        world.run_until(world.now() + 15'000);
+        EXPECT_EQ(world.stops(), stops) << "seed " << seed;
     }
-    EXPECT_GT(lent, 50u);
+    EXPECT_GE(tried, 5u);
 }
 
 }  // namespace
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -78,6 +78,10 @@
     at(now_ + 100, [this, i, incarnation] { tick_holder(i, incarnation); });
 }
 
+void World::end_holders() {
+    for (std::size_t i = 0; i < 2; ++i) start_holder(i);
+}
+
 void World::tick_holder(std::size_t i, std::uint64_t incarnation) {
     auto& h = nodes_[i]->holding;
     if (h->incarnation() != incarnation) return;
@@ -101,7 +105,7 @@
         at(now_ + delay(20), [this, s, news] {
             if (leader() == nullptr) return;
             leader()->peer_heard(s, now_);
-            if (news) leader()->on_news(*news, now_);
+            if (news) leader()->on_news(*news);
         });
     }
     at(now_ + 50, [this] {
@@ -280,7 +284,7 @@
             keys_.erase(w.key);
             if (std::string id = jobs::id_of_open_key(w.key); !id.empty()) {
                 at(now_ + delay(20), [this, id] {
-                    if (leader() != nullptr) leader()->on_open_dropped(id, now_);
+                    if (leader() != nullptr) leader()->on_open_dropped(id);
                 });
             }
             continue;
@@ -328,7 +332,7 @@
 void World::Node::list(const std::string& prefix,
                        std::function<void(Millis, const state::ListReply&)> done) {
     World& w = *world;
-    w.at(w.now_ + w.delay(10), [&w, prefix, done] {
+    w.at(w.now_ + w.delay(10 + w.trouble_.slow_lists), [&w, prefix, done] {
         state::ListReply reply;
         reply.outcome = state::Outcome::ok;
         for (auto& [key, stored] : w.keys_) {
@@ -598,6 +602,7 @@
         } else if (c.op == wire::Command::Op::stop) {
             if (!same || it->second.phase == "exited") continue;
             Task& t = it->second;
+            ++stops_;
             if (t.phase == "running" && c.grace_s >= 2) {
                 t.phase = "saving";
                 t.done_at = now_ + 2000;
--- a/tests/world.h
+++ b/tests/world.h
@@ -33,6 +33,7 @@
     double holder_dies = 0;     // a second
     double lost_back = 0;       // a message between controllers is lost
     double refused_direct = 0;  // a connection to a machine is refused
+    Millis slow_lists = 0;      // lists of the state service take up to so much longer
 };
 
 // A part of a zone's machines that nobody outside the zone reaches for a while.
@@ -60,6 +61,8 @@
     std::size_t returned() const;               // machines, to the cloud
     std::size_t lent() const { return lent_; }  // grants that a holder took up
     void take_over();
+    void end_holders();  // both; others begin at once
+    std::size_t stops() const { return stops_; }
     void cut(const Cut& c);
     void take_away(const std::string& zone);  // the cloud does, all of its machines
     std::size_t killed_by_lease() const { return killed_; }
@@ -171,6 +174,7 @@
     std::map<std::string, Millis> cancelled_;  // and were told when
     std::set<TaskId> done_;
     std::size_t starts_ = 0;
+    std::size_t stops_ = 0;   // commands that ended a task
     std::size_t killed_ = 0;  // tasks, by their leases
     std::vector<Cut> cuts_;
     std::size_t answered_by_deputies_ = 0;
