--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/commands.cpp
@@ -179,8 +179,7 @@
     while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
     if (m.type != kNone) {
         --machines_in_[m.zone];
-        // Its place at the cloud is free again.
-        if (auto it = offers_.find({m.type, m.zone, m.spot}); it != offers_.end()) it->second = {};
+        market_.freed({m.type, m.zone, m.spot});
     }
     ledger_.remove(m.name);
     roster_.remove(&m);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -20,6 +20,7 @@
 #include "dispatch/outbox.h"
 #include "domains/domains.h"
 #include "fleet/forecast.h"
+#include "fleet/market.h"
 #include "jobs/job.h"
 #include "peers/messages.h"
 #include "placing/openings.h"
@@ -292,8 +293,8 @@
     std::vector<std::uint32_t> places_soon_free() const;
     double expected_run_s(const Job& j) const;
     void learn_run(const Job& j, const Attempt& a, Millis now);
-    void hire(Index type, Index zone, bool spot, std::uint32_t count, Millis now);
-    void on_hired(std::string request, Index type, Index zone, bool spot, std::uint32_t count,
+    void hire(const fleet::Kind& kind, std::uint32_t count);
+    void on_hired(const std::string& request, const fleet::Kind& kind,
                   const fleet::HireReply& reply, Millis now);
     void watch_machines(Millis now);
     void watch_machine(Machine& m, Millis now);
@@ -373,11 +374,7 @@
     bool dirty_ = true;        // something changed that the schedule depends on
     Millis next_pass_ = 0, next_supply_ = 0, next_share_ = 0;
 
-    struct Offer {  // what the cloud last said about one kind of machine in one zone
-        Millis blocked_until = 0;
-        std::uint32_t refusals = 0;
-    };
-    std::map<std::tuple<Index, Index, bool>, Offer> offers_;
+    fleet::Market market_;
     struct Learned {
         double ran_s = 0, guessed_s = 0, weight = 0;
         std::uint32_t running = 0;  // tasks that will end by themselves
@@ -402,13 +399,6 @@
     double dear_to_hire_ = 0;  // cpus, beyond what is there and coming
     Index dear_for_ = kNone;   // a job that would use them
     Millis next_consolidation_ = 0;
-    struct Hiring {
-        Index type, zone;
-        bool spot;
-        std::uint32_t count;
-    };
-    std::map<std::string, Hiring> hiring_;
-    std::uint64_t hires_ = 0;
     bool return_in_flight_ = false;
     Millis retry_return_at_ = 0;
 };
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -125,8 +125,7 @@
             if (j.zone != kNone && z != j.zone) continue;
             for (bool spot : {false, true}) {
                 if (spot && (!j.spec.spot || options_.use_spot == 0)) continue;
-                auto it = offers_.find({t, z, spot});
-                if (it == offers_.end() || now >= it->second.blocked_until) return false;
+                if (!market_.refused({t, z, spot}, now)) return false;
             }
         }
     }
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -9,8 +9,6 @@
 namespace nickelramp::dispatch {
 
 namespace {
-constexpr Millis kFirstBlock = 5'000;
-constexpr Millis kMostBlock = 20'000;
 constexpr std::uint32_t kMostHire = 50;   // the cloud's own limit a request
 constexpr std::size_t kMostReturn = 100;  // likewise
 constexpr double kIdleSurplus = 10;       // seconds
@@ -68,8 +66,8 @@
         bool late = now - m.hired_at > seconds(types_[m.type].boot_s * kLate);
         if (m.state == MachineState::joining || !late) add_bin(m.type, m.zone, m.spot);
     }
-    for (const auto& [name, h] : hiring_) {
-        for (std::uint32_t i = 0; i < h.count; ++i) add_bin(h.type, h.zone, h.spot);
+    for (const auto& [name, h] : market_.under_way()) {
+        for (std::uint32_t i = 0; i < h.count; ++i) add_bin(h.kind.type, h.kind.zone, h.kind.spot);
     }
     // What the most urgent work needs is asked for first: the cloud takes few calls.
     std::vector<std::pair<std::tuple<Index, Index, bool>, std::uint32_t>> wanted;
@@ -97,8 +95,7 @@
                     if (spot && (!j.spec.spot || options_.use_spot == 0)) continue;
                     if (!at_any_price && dear(j, t, spot)) continue;
                     if (left_to_others(j, t)) continue;
-                    auto it = offers_.find({t, z, spot});
-                    if (it != offers_.end() && now < it->second.blocked_until) continue;
+                    if (market_.refused({t, z, spot}, now)) continue;
                     double price = (spot ? type.spot_price : type.price) / fits;
                     price *= 1.0 + 0.001 * there[z];  // keep zones even
                     if (!kind || price < least) {
@@ -115,8 +112,7 @@
         std::optional<Index> best;
         for (const std::string& name : types_[type].zones) {
             Index z = zone_names_.find(name);
-            auto it = offers_.find({type, z, spot});
-            if (it != offers_.end() && now < it->second.blocked_until) continue;
+            if (market_.refused({type, z, spot}, now)) continue;
             if (domains_.shut(z)) continue;
             if (!best || there[z] < there[*best]) best = z;
         }
@@ -253,8 +249,8 @@
     if (dear_for_ != kNone && slots_[dear_for_] != nullptr) {
         Job& j = *slots_[dear_for_];
         double lacking = dear_to_hire_;
-        for (const auto& [name, h] : hiring_) {
-            if (dear(j, h.type, h.spot)) lacking -= h.count * types_[h.type].cpus;
+        for (const auto& [name, h] : market_.under_way()) {
+            if (dear(j, h.kind.type, h.kind.spot)) lacking -= h.count * types_[h.kind.type].cpus;
         }
         while (lacking > 0 && fresh < kMostFresh) {
             auto kind = cheapest(j, placing::need_of(j), j.zone, true, [](Index) { return true; });
@@ -286,9 +282,9 @@
     const std::size_t most =
         std::max<std::size_t>(2, static_cast<std::size_t>(settings_.cloud_rps));
     for (const auto& [kind, n] : wanted) {
-        if (hiring_.size() >= most) break;
+        if (market_.under_way().size() >= most) break;
         auto [t, z, spot] = kind;
-        hire(t, z, spot, std::min(n, kMostHire), now);
+        hire({t, z, spot}, std::min(n, kMostHire));
     }
 }
 
@@ -324,53 +320,29 @@
     l.guessed_s = l.guessed_s * 0.97 + j.spec.estimate_s;
 }
 
-void Dispatcher::hire(Index type, Index zone, bool spot, std::uint32_t count, Millis now) {
-    for (const auto& [name, h] : hiring_) {
-        if (h.type == type && h.zone == zone && h.spot == spot) return;  // one question at a time
-    }
-    // Names are never used again: the term is in them.
-    std::string request = fmt::format("t{}-{}", term_.number, ++hires_);
-    hiring_[request] = {type, zone, spot, count};
-    spdlog::info("hiring {} {} {} in {}", count, spot ? "spot" : "ordinary", types_[type].name,
-                 zone_names_.name(zone));
-    (void)now;
-    outbox_.hire(
-        request, types_[type].name, zone_names_.name(zone), spot, count,
-        guarded([this, request, type, zone, spot, count](Millis t, const fleet::HireReply& reply) {
-            on_hired(request, type, zone, spot, count, reply, t);
-        }));
+void Dispatcher::hire(const fleet::Kind& kind, std::uint32_t count) {
+    const std::string request = market_.ask(term_.number, kind, count);
+    if (request.empty()) return;
+    const std::string& type = types_[kind.type].name;
+    const std::string& zone = zone_names_.name(kind.zone);
+    spdlog::info("hiring {} {} {} in {}", count, kind.spot ? "spot" : "ordinary", type, zone);
+    outbox_.hire(request, type, zone, kind.spot, count,
+                 guarded([this, request, kind](Millis t, const fleet::HireReply& reply) {
+                     on_hired(request, kind, reply, t);
+                 }));
 }
 
-void Dispatcher::on_hired(std::string request, Index type, Index zone, bool spot,
-                          std::uint32_t count, const fleet::HireReply& reply, Millis now) {
-    hiring_.erase(request);
-    Offer& offer = offers_[{type, zone, spot}];
-    auto refuse = [&](Millis first) {
-        offer.blocked_until = now + std::min(kMostBlock, first << std::min(offer.refusals, 4u));
-        ++offer.refusals;
-    };
-    switch (reply.result) {
-        case fleet::HireReply::Result::hired:
-            for (const std::string& name : reply.machines) {
-                if (roster_.buried(name)) continue;
-                Machine* m = adopt(name, now);
-                identify(*m, "", types_[type].name, zone_names_.name(zone), spot);
-            }
-            if (reply.machines.size() < count)
-                refuse(kFirstBlock);
-            else
-                offer.refusals = 0;
-            break;
-        case fleet::HireReply::Result::no_capacity:
-            refuse(kFirstBlock);
-            break;
-        case fleet::HireReply::Result::trouble:
-            offer.blocked_until = now + 1500;
-            break;
-        case fleet::HireReply::Result::malformed:
-            spdlog::error("the cloud calls the hire of {} malformed", types_[type].name);
-            refuse(kMostBlock);
-            break;
+void Dispatcher::on_hired(const std::string& request, const fleet::Kind& kind,
+                          const fleet::HireReply& reply, Millis now) {
+    market_.answered(request, reply, now);
+    const std::string& type = types_[kind.type].name;
+    if (reply.result == fleet::HireReply::Result::malformed) {
+        spdlog::error("the cloud calls the hire of {} malformed", type);
+    }
+    for (const std::string& name : reply.machines) {
+        if (roster_.buried(name)) continue;
+        Machine* m = adopt(name, now);
+        identify(*m, "", type, zone_names_.name(kind.zone), kind.spot);
     }
     dirty_ = true;
     if (now >= next_pass_) schedule(now);
--- a/tests/types_test.cpp
+++ b/tests/types_test.cpp
@@ -150,4 +150,34 @@
     EXPECT_EQ(world.hired_types().front(), "gpu");
 }
 
+// What the cloud refuses is asked again after 5 to 20 s, or at once where a machine has gone; other
+// zones and kinds are not minded, and a name is never used twice.
+TEST(Types, TheMarketRemembersRefusalsByKind) {
+    using Result = fleet::HireReply::Result;
+    fleet::Market m;
+    const fleet::Kind spot{0, 1, true}, ordinary{0, 1, false};
+    Millis now = 1'000;
+    std::set<std::string> names;
+    for (Millis wait : {5'000, 10'000, 20'000, 20'000}) {
+        ASSERT_FALSE(m.refused(spot, now));
+        const std::string name = m.ask(3, spot, 4);
+        EXPECT_TRUE(names.insert(name).second);
+        EXPECT_EQ(m.ask(3, spot, 1), "");                 // one question at a time
+        m.answered(name, {Result::hired, {"i-1"}}, now);  // fewer than asked for
+        EXPECT_TRUE(m.under_way().empty());
+        EXPECT_TRUE(m.refused(spot, now + wait - 1));
+        EXPECT_FALSE(m.refused(ordinary, now));
+        now += wait;
+    }
+    m.answered(m.ask(3, spot, 1), {Result::no_capacity, {}}, now);
+    ASSERT_TRUE(m.refused(spot, now + 1));
+    m.freed(spot);
+    EXPECT_FALSE(m.refused(spot, now + 1));
+    m.answered(m.ask(3, spot, 1), {Result::trouble, {}}, now);
+    EXPECT_TRUE(m.refused(spot, now + 1'400));
+    EXPECT_FALSE(m.refused(spot, now + 1'500));
+    m.answered("t3-99", {Result::malformed, {}}, now);  // of no request
+    EXPECT_FALSE(m.refused(spot, now + 1'500));
+}
+
 }  // namespace
