--- a/src/deputy/deputy.cpp
+++ b/src/deputy/deputy.cpp
@@ -26,6 +26,10 @@
     return std::max(answer_bound(s), seconds(kAnswerLeases * s.lease_s));
 }
 
+Millis last_lease(const wire::Settings& s, Millis now) {
+    return now + longer(longest_answer(s) + seconds(s.lease_s)) + 1000;
+}
+
 const char* name(State s) {
     switch (s) {
         case State::none:
--- a/src/deputy/deputy.h
+++ b/src/deputy/deputy.h
@@ -22,6 +22,8 @@
 // And where they are told when the tasks are gone, so that only the wait for leases to end bounds
 // it.
 Millis longest_answer(const wire::Settings& s);
+// By when every lease is over that somebody else may have given by what was known until now.
+Millis last_lease(const wire::Settings& s, Millis now);
 
 // none:      no leave, or one that has ended
 // standing:  has a leave; the leader or the state service answers, so there is nothing to do
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -221,6 +221,7 @@
     bool may_get(const Job& j, const Machine& m, const Need& need, Millis now) const;
     bool leaves_alone(const Job& j, const Machine& m) const;
     bool kept_for_replicas(const Job& j, const Machine& m, double kept) const;
+    std::vector<std::uint32_t> live_by_zone(const Job& j);  // its tasks
     std::vector<Machine*> fitting(const Job& j, const Need& need, Millis now);
     std::vector<Job*> queue(Millis now);
     void foresee(const std::vector<Job*>& queue, Millis now);
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -34,8 +34,7 @@
     for (const std::string& z : settings.zones) zone_names_.add(z);
     ledger_.begin(term_.number, settings.name);
     // An earlier leader may have gone on answering for a while after it lost the state service.
-    inherited_lease_until_ =
-        now + longer(deputy::longest_answer(settings) + seconds(settings.lease_s)) + 1000;
+    inherited_lease_until_ = deputy::last_lease(settings, now);
 }
 
 void Dispatcher::load_types(const std::vector<wire::MachineType>& types) {
--- a/src/dispatch/schedule.cpp
+++ b/src/dispatch/schedule.cpp
@@ -306,6 +306,15 @@
            d.blank <= static_cast<std::size_t>(d.whole.deviation(kGangsSoonS, now));
 }
 
+std::vector<std::uint32_t> Dispatcher::live_by_zone(const Job& j) {
+    std::vector<std::uint32_t> out(zone_names_.size());
+    for (const auto& a : j.attempts) {
+        const Machine* m = machine_of(*a);
+        if (a->live() && m != nullptr && m->zone != kNone) ++out[m->zone];
+    }
+    return out;
+}
+
 // Arrays and services: one task after the other.
 bool Dispatcher::place_some(Job& j, Millis now) {
     Need need = placing::need_of(j);
@@ -570,13 +579,7 @@
     for (const Plan& p : plans) room += p.room;
     if (j.gang() && room < left) return false;
     std::vector<std::uint32_t> in_zone(zone_names_.size());
-    if (j.spec.spread) {
-        for (const auto& a : j.attempts) {
-            if (Machine* m = machine_of(*a); m != nullptr && m->zone != kNone && a->live()) {
-                ++in_zone[m->zone];
-            }
-        }
-    }
+    if (j.spec.spread) in_zone = live_by_zone(j);
     const std::uint32_t half = (j.spec.tasks + 1) / 2;
     for (const Plan& p : plans) {
         if (left == 0) break;
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -282,8 +282,7 @@
             m->token = ledger_.block(block).token;
             m->heard_at = now;
             m->session = m->seq = 0;  // the holder has heard more than this book
-            m->lease_until =
-                now + longer(deputy::longest_answer(settings_) + seconds(settings_.lease_s)) + 1000;
+            m->lease_until = deputy::last_lease(settings_, now);
             m->wants_confirm = true;
             m->unread = true;
             set_machine_state(*m, MachineState::joining);
--- a/src/dispatch/silence.cpp
+++ b/src/dispatch/silence.cpp
@@ -8,8 +8,6 @@
 
 namespace nickelramp::dispatch {
 
-using domains::Sky;
-
 namespace {
 // A list may be older than the last: by so many lags at the most, and then some.
 constexpr double kListLags = 3;
@@ -96,11 +94,7 @@
     const Job& j = job_of(a);
     if (!a.live() || j.zone != kNone || j.state != jobs::JobState::open) return false;
     if (!j.spec.spread || j.spec.tasks < 2) return true;
-    std::vector<std::uint32_t> in_zone(zone_names_.size());
-    for (const auto& other : j.attempts) {
-        const Machine* at = machine_of(*other);
-        if (other->live() && at != nullptr && at->zone != kNone) ++in_zone[at->zone];
-    }
+    const std::vector<std::uint32_t> in_zone = live_by_zone(j);
     for (Index z = 0; z < in_zone.size(); ++z) {
         if (z != m.zone && !domains_.shut(z) && in_zone[z] < (j.spec.tasks + 1) / 2) return true;
     }
--- a/src/dispatch/supply.cpp
+++ b/src/dispatch/supply.cpp
@@ -70,8 +70,8 @@
         for (std::uint32_t i = 0; i < h.count; ++i) add_bin(h.kind.type, h.kind.zone, h.kind.spot);
     }
     // What the most urgent work needs is asked for first: the cloud takes few calls.
-    std::vector<std::pair<std::tuple<Index, Index, bool>, std::uint32_t>> wanted;
-    auto want = [&](const std::tuple<Index, Index, bool>& kind) {
+    std::vector<std::pair<fleet::Kind, std::uint32_t>> wanted;
+    auto want = [&](const fleet::Kind& kind) {
         auto it = std::find_if(wanted.begin(), wanted.end(),
                                [&](const auto& w) { return w.first == kind; });
         if (it == wanted.end()) it = wanted.insert(it, {kind, 0});
@@ -83,7 +83,7 @@
     auto cheapest = [&](const Job& j, const Need& need, Index zone, bool at_any_price,
                         auto zone_ok) {
         double least = 0;
-        std::optional<std::tuple<Index, Index, bool>> kind;
+        std::optional<fleet::Kind> kind;
         for (Index t = 0; t < types_.size() && t < j.allowed_type.size(); ++t) {
             const wire::MachineType& type = types_[t];
             double fits = placing::how_many(type.cpus, type.gpus, type.memory_gb, need, 64);
@@ -137,11 +137,9 @@
         const std::uint32_t half = (j->spec.tasks + 1) / 2;
         auto zone_ok = [&](Index z) { return !j->spec.spread || in_zone[z] < half; };
         if (j->spec.one_zone || j->spec.spread) {
-            for (const auto& a : j->attempts) {
-                Machine* m = machine_of(*a);
-                if (!a->live() || m == nullptr || m->zone == kNone) continue;
-                ++in_zone[m->zone];
-                if (j->spec.one_zone) zone = m->zone;
+            in_zone = live_by_zone(*j);
+            for (Index z = 0; j->spec.one_zone && z < in_zone.size(); ++z) {
+                if (in_zone[z] > 0) zone = z;
             }
         }
         // Gangs of one zone are packed into the zone that already has most room coming.
@@ -283,8 +281,7 @@
         std::max<std::size_t>(2, static_cast<std::size_t>(settings_.cloud_rps));
     for (const auto& [kind, n] : wanted) {
         if (market_.under_way().size() >= most) break;
-        auto [t, z, spot] = kind;
-        hire({t, z, spot}, std::min(n, kMostHire));
+        hire(kind, std::min(n, kMostHire));
     }
 }
 
--- a/src/fleet/market.h
+++ b/src/fleet/market.h
@@ -5,19 +5,12 @@
 #include <map>
 #include <string>
 
-#include "base/names.h"
 #include "base/time.h"
 #include "fleet/hire.h"
+#include "fleet/kind.h"
 
 namespace nickelramp::fleet {
 
-// A machine type in a zone, spot or ordinary.
-struct Kind {
-    Index type = kNone, zone = kNone;
-    bool spot = false;
-    auto operator<=>(const Kind&) const = default;
-};
-
 class Market {
   public:
     struct Hire {
--- a/src/placing/openings.h
+++ b/src/placing/openings.h
@@ -9,17 +9,14 @@
 #include <utility>
 #include <vector>
 
+#include "fleet/kind.h"
 #include "placing/placer.h"
 
 namespace nickelramp::placing {
 
 class Openings {
   public:
-    struct Kind {
-        Index type = kNone, zone = kNone;
-        bool spot = false;
-        auto operator<=>(const Kind&) const = default;
-    };
+    using Kind = fleet::Kind;
 
     // The machine has this much free now.
     void put(Index machine, const Kind& kind, double cpus, double gpus) {
