--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -203,7 +203,7 @@
             return;
         }
         answer.token = *token;
-    } else if (now() - view_fresh_ > deputy::answer_bound(settings_)) {
+    } else if (now() - view_fresh_ > dispatcher_->answer_for()) {
         // Whoever cannot know of a cancellation must let the leases run out in time.
         answer.status = 503;
     } else {
--- a/src/deputy/deputy.cpp
+++ b/src/deputy/deputy.cpp
@@ -13,6 +13,8 @@
 // The leader says something every second, the state service answers a watch every five.
 constexpr Millis kLeaderSilent = 3'000;
 constexpr Millis kStateSilent = 6'500;
+// Longer cuts are rare, and so much longer must be waited before a lease is known to be over.
+constexpr double kAnswerLeases = 2;
 }  // namespace
 
 Millis answer_bound(const wire::Settings& s) {
@@ -20,6 +22,10 @@
     return std::max<Millis>(0, shorter(seconds(s.cancel_s)) - longer(seconds(s.lease_s)) - 1500);
 }
 
+Millis longest_answer(const wire::Settings& s) {
+    return std::max(answer_bound(s), seconds(kAnswerLeases * s.lease_s));
+}
+
 const char* name(State s) {
     switch (s) {
         case State::none:
@@ -55,13 +61,15 @@
 }
 
 void Deputy::look(Millis leader_at, Millis state_at, Millis now) {
-    if (leave_.term == 0 || now - view_ > answer_bound(settings_)) return set_state(State::none);
+    if (leave_.term == 0 || now - view_ > shorter(static_cast<Millis>(leave_.answer_ms))) {
+        return set_state(State::none);
+    }
     const bool alone = now - leader_at > kLeaderSilent && now - state_at > kStateSilent;
     set_state(alone ? State::answering : State::standing);
 }
 
 std::optional<std::uint64_t> Deputy::answer(const wire::Report& r, Millis now) {
-    if (state_ != State::answering || now - view_ > answer_bound(settings_)) return std::nullopt;
+    if (state_ != State::answering) return std::nullopt;
     // Under its own token, which no worker drops. Not where somebody else has been in charge, or
     // may have been since the leave was given.
     const std::uint64_t grant = r.token >> blocks::kGrantShift;
@@ -75,6 +83,7 @@
 }
 
 void Deputy::tell(peers::Status& s, Millis now) const {
+    s.confirms = 1;
     s.leave_term = leave_.term;
     s.leave_clock_ms = leave_.clock_ms;
     s.answered_age_ms = answered_at_ == 0 ? 0 : static_cast<std::uint64_t>(now - answered_at_) + 1;
@@ -90,13 +99,14 @@
         // The process before this one may have answered, and cannot tell any more.
         if (e.view != 0) departed_.push_back(e.view);
         std::erase_if(departed_, [&](Millis view) {
-            return now > lease_after(view + longer(answer_bound(settings_)));
+            return now > lease_after(view + longer(longest_answer(settings_)));
         });
         e = {};
         e.incarnation = s.incarnation;
     }
     e.clock_ms = s.clock_ms;
     e.heard_at = now;
+    e.confirms = s.confirms != 0;
     if (s.leave_term == term) {
         // This was said after that leave had come, and it came after it was sent.
         e.quiet_until = std::max(e.quiet_until, static_cast<Millis>(s.leave_clock_ms));
@@ -120,6 +130,7 @@
         l.asked_ms = e.clock_ms;
         l.clock_ms = static_cast<std::uint64_t>(now);
         l.view_age_ms = static_cast<std::uint64_t>(std::max<Millis>(0, now - view_fresh));
+        l.answer_ms = static_cast<std::uint64_t>(answer_for());
         l.highest = highest;
         l.lent = lent;
         e.view = std::max(e.view, view_fresh);
@@ -128,13 +139,22 @@
     return out;
 }
 
+Millis Deputies::answer_for() const {
+    const bool all =
+        std::all_of(settings_.peers.begin(), settings_.peers.end(), [this](const wire::Peer& p) {
+            auto e = entries_.find(p.name);
+            return p.name == settings_.name || (e != entries_.end() && e->second.confirms);
+        });
+    return all ? longest_answer(settings_) : answer_bound(settings_);
+}
+
 Millis Deputies::until(Millis lease_until) const {
     Millis known = lease_until;
     for (const auto& [peer, e] : entries_) {
         if (e.answered_at != 0) known = std::max(known, lease_after(e.answered_at));
     }
     Millis most = known;
-    const Millis bound = longer(answer_bound(settings_));
+    const Millis bound = longer(longest_answer(settings_));
     for (const auto& [peer, e] : entries_) {
         // A deputy that was quiet until the lease was over cannot have made it longer.
         if (e.view != 0 && e.quiet_until < known)
--- a/src/deputy/deputy.h
+++ b/src/deputy/deputy.h
@@ -1,7 +1,7 @@
 // Deputies: a controller that a cut leaves alone with its zone's machines goes on answering their
-// reports, so that what runs there runs on. It starts and stops nothing. How long it may do so is
-// bounded by what it cannot know: a cancellation that came after its last news from the leader must
-// still be over within cancel_s (docs/design/domains.md).
+// reports, so that what runs there runs on. It starts and stops nothing. What it cannot know are
+// cancellations that came after its last news from the leader: users are told of one only when it
+// is over (docs/design/domains.md).
 #pragma once
 #include <map>
 #include <optional>
@@ -16,9 +16,12 @@
 
 namespace nickelramp::deputy {
 
-// How long a node that cannot reach the state service may go on answering workers: a cancellation
-// that it cannot know of must still be over within cancel_s.
+// How long a node that cannot reach the state service may go on answering workers where users may
+// be told of a cancellation at once: it must still be over within cancel_s.
 Millis answer_bound(const wire::Settings& s);
+// And where they are told when the tasks are gone, so that only the wait for leases to end bounds
+// it.
+Millis longest_answer(const wire::Settings& s);
 
 // none:      no leave, or one that has ended
 // standing:  has a leave; the leader or the state service answers, so there is nothing to do
@@ -64,6 +67,9 @@
                                                              Millis view_fresh, Millis now);
     // Is a lease that this leader's own answers let last until then over, whatever deputies did?
     bool over(Millis lease_until, Millis now) const;
+    // How long this leader and its deputies may answer without news: the longest if every
+    // controller tells of a cancellation only when it is over.
+    Millis answer_for() const;
     // By when it is over at the latest, as far as is known.
     Millis until(Millis lease_until) const;
 
@@ -71,6 +77,7 @@
     struct Entry {
         std::uint64_t incarnation = 0, clock_ms = 0;
         Millis heard_at = 0;
+        bool confirms = false;
         Millis view = 0;         // of the last leave sent; 0: none was
         Millis quiet_until = 0;  // it had answered nothing that is not told below
         Millis answered_at = 0;  // the last that it told of; 0: none
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -87,6 +87,7 @@
     void on_news(const peers::News& news, Millis now);
     // The leaves to send now, to those that may answer machines when the leader is out of reach.
     std::vector<std::pair<std::string, peers::Leave>> leaves(Millis view_fresh, Millis now);
+    Millis answer_for() const { return deputies_.answer_for(); }
     std::vector<peers::Status::Lost> lost_zones(Millis now) const;
     void set_options(const admin::Options& options) { options_ = options; }
 
--- a/src/dispatch/intake.cpp
+++ b/src/dispatch/intake.cpp
@@ -35,7 +35,7 @@
     ledger_.begin(term_.number, settings.name);
     // An earlier leader may have gone on answering for a while after it lost the state service.
     inherited_lease_until_ =
-        now + longer(deputy::answer_bound(settings) + seconds(settings.lease_s)) + 1000;
+        now + longer(deputy::longest_answer(settings) + seconds(settings.lease_s)) + 1000;
 }
 
 void Dispatcher::load_types(const std::vector<wire::MachineType>& types) {
@@ -309,7 +309,7 @@
         if (pressing) demand.pressing.arrived(j.spec.tasks, j.accepted_at);
     }
     jobs_.emplace(j.spec.id, std::move(owned));
-    if (record.cancelled) {
+    if (record.cancelled || record.unwanted) {
         j.links.submit(j.cancelled_event);
         set_job_state(j, JobState::cancelled);
     } else {
@@ -328,12 +328,14 @@
         spdlog::debug("job {} of {}: {} tasks of class {}, image {} of {} GB{}", j->spec.id,
                       j->spec.team, j->spec.tasks, j->spec.job_class, j->spec.image,
                       j->spec.image_gb, j->within_guarantee ? ", within the guarantee" : "");
-        if (record.cancelled) maybe_finish(*j, now);
+        if (record.cancelled || record.unwanted) maybe_finish(*j, now);
         return;
     }
     if (version <= j->version) return;
     j->version = version;
-    if (record.cancelled) cancel(*j, now);
+    // All of it has completed: it is done, unless its user was told otherwise.
+    if (record.unwanted && !record.cancelled && j->state == JobState::finishing) return;
+    if (record.cancelled || record.unwanted) cancel(*j, now);
 }
 
 void Dispatcher::cancel(Job& j, Millis now) {
@@ -374,11 +376,11 @@
     state::Txn txn;
     txn.conditions = conditions();
     txn.conditions.push_back({jobs::open_key(j.spec.id), j.version});
-    if (done) {
-        txn.writes.push_back({jobs::job_key(j.spec.id),
-                              wire::Json{{"final", wire::final_name(wire::JobStatus::done)},
-                                         {"tasks", j.spec.tasks}}});
-    }
+    // A cancellation is told when nothing of the job is left: until then whoever could not hear of
+    // it may have gone on answering its machines.
+    const auto end = done ? wire::JobStatus::done : wire::JobStatus::cancelled;
+    txn.writes.push_back({jobs::job_key(j.spec.id),
+                          wire::Json{{"final", wire::final_name(end)}, {"tasks", j.spec.tasks}}});
     txn.writes.push_back({jobs::open_key(j.spec.id), std::nullopt});
     std::vector<std::string> rest;
     for (const auto& [n, c] : j.chunks) {
--- a/src/dispatch/sharing.cpp
+++ b/src/dispatch/sharing.cpp
@@ -268,7 +268,7 @@
             m->heard_at = now;
             m->session = m->seq = 0;  // the holder has heard more than this book
             m->lease_until =
-                now + longer(deputy::answer_bound(settings_) + seconds(settings_.lease_s)) + 1000;
+                now + longer(deputy::longest_answer(settings_) + seconds(settings_.lease_s)) + 1000;
             m->wants_confirm = true;
             set_machine_state(*m, MachineState::joining);
             poke(*m);
--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -17,6 +17,8 @@
 constexpr Millis kQueryWait = 1500;   // users wait 2 s
 constexpr std::size_t kMostOpen = 1000;
 constexpr int kCancelTries = 5;
+constexpr Millis kEndWait = 400;         // for what usually takes a tenth of it
+constexpr std::size_t kMostAwaited = 2;  // at once; the others ask again
 
 Response busy() { return {503, wire::encode({{"error", "try again"}}), 1, "application/cbor"}; }
 Response failure(int status, const std::string& what) {
@@ -177,67 +179,82 @@
                });
 }
 
-// The job's key and its open record change together, so whoever finishes the job and whoever
-// cancels it cannot both succeed.
+// The wish goes into the open record; the leader stops the tasks and makes the job final when none
+// is left. Until then the answer is to ask again: what was told can then not be undone by anybody
+// who had not heard of it.
 void Desk::cancel(const std::string& id, int tries, net::Responder responder) {
     if (tries == 0) {
         responder.send(busy());
         return;
     }
     ++open_;
-    state_.get(
-        job_key(id), state::Urgency::user, kQueryWait,
-        [this, id, tries, responder](const state::GetReply& job) {
-            --open_;
-            if (job.outcome == state::Outcome::missing) {
-                responder.send(failure(404, "no such job"));
-                return;
-            }
-            if (job.outcome != state::Outcome::ok) {
-                responder.send(busy());
-                return;
-            }
-            if (wire::text(job.item.value, "final")) {
-                answer_known(id, job.item.value, responder);
+    state_.get(job_key(id), state::Urgency::user, kQueryWait,
+               [this, id, tries, responder](const state::GetReply& job) {
+                   --open_;
+                   if (job.outcome == state::Outcome::missing) {
+                       responder.send(failure(404, "no such job"));
+                       return;
+                   }
+                   if (job.outcome != state::Outcome::ok) {
+                       responder.send(busy());
+                       return;
+                   }
+                   if (wire::text(job.item.value, "final")) {
+                       answer_known(id, job.item.value, responder);
+                       return;
+                   }
+                   ++open_;
+                   state_.get(open_key(id), state::Urgency::user, kQueryWait,
+                              [this, id, tries, responder](const state::GetReply& open) {
+                                  --open_;
+                                  if (open.outcome == state::Outcome::missing)
+                                      cancel(id, tries - 1, responder);  // it has just become final
+                                  else if (open.outcome != state::Outcome::ok)
+                                      responder.send(busy());
+                                  else
+                                      wish(id, open.item, tries, responder);
+                              });
+               });
+}
+
+void Desk::wish(const std::string& id, const state::Item& open, int tries,
+                net::Responder responder) {
+    if (wire::flag(open.value, "unwanted").value_or(false)) {
+        responder.send(busy());
+        return;
+    }
+    state::Txn txn;
+    txn.conditions = {{open_key(id), open.version}};
+    txn.writes = {{open_key(id), open.value}};
+    (*txn.writes[0].value)["unwanted"] = true;
+    ++open_;
+    state_.commit(txn, state::Urgency::user, kQueryWait,
+                  [this, id, tries, responder](const state::CommitReply& r) {
+                      --open_;
+                      if (r.outcome == state::Outcome::conflict)
+                          cancel(id, tries - 1, responder);
+                      else if (r.outcome != state::Outcome::ok || awaited_ >= kMostAwaited)
+                          responder.send(busy());
+                      else
+                          await_end(id, r.revision, responder);
+                  });
+}
+
+// Mostly it takes some messages only.
+void Desk::await_end(const std::string& id, std::uint64_t revision, net::Responder responder) {
+    ++awaited_;
+    state_.watch(
+        job_key(id), revision, kEndWait,
+        [this, id, responder](state::ListReply r) {
+            --awaited_;
+            for (const state::Item& i : r.items) {
+                if (i.deleted || i.key != job_key(id)) continue;
+                answer_known(id, i.value, responder);
                 return;
             }
-            ++open_;
-            state_.get(
-                open_key(id), state::Urgency::user, kQueryWait,
-                [this, id, tries, responder, job](const state::GetReply& open) {
-                    --open_;
-                    if (open.outcome == state::Outcome::missing) {
-                        cancel(id, tries - 1, responder);  // it has just become final
-                        return;
-                    }
-                    if (open.outcome != state::Outcome::ok) {
-                        responder.send(busy());
-                        return;
-                    }
-                    Json record = open.item.value;
-                    record["cancelled"] = true;
-                    state::Txn txn;
-                    txn.conditions = {{job_key(id), job.item.version},
-                                      {open_key(id), open.item.version}};
-                    txn.writes = {
-                        {job_key(id), Json{{"final", wire::final_name(JobStatus::cancelled)},
-                                           {"tasks", job.item.value.value("tasks", 0)}}},
-                        {open_key(id), std::move(record)}};
-                    ++open_;
-                    state_.commit(
-                        txn, state::Urgency::user, kQueryWait,
-                        [this, id, tries, responder](const state::CommitReply& r) {
-                            --open_;
-                            if (r.outcome == state::Outcome::ok) {
-                                responder.send(ok(200, wire::job_answer(id, JobStatus::cancelled)));
-                            } else if (r.outcome == state::Outcome::conflict) {
-                                cancel(id, tries - 1, responder);
-                            } else {
-                                responder.send(busy());
-                            }
-                        });
-                });
-        });
+            responder.send(busy());
+        },
+        kEndWait);
 }
 
 }  // namespace nickelramp::jobs
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -39,6 +39,8 @@
     void submit(const net::Request& request, net::Responder responder);
     void query(const std::string& id, net::Responder responder);
     void cancel(const std::string& id, int tries, net::Responder responder);
+    void wish(const std::string& id, const state::Item& open, int tries, net::Responder responder);
+    void await_end(const std::string& id, std::uint64_t revision, net::Responder responder);
     // Sends and counts. `since`: when the request came.
     void answer(const char* request, Millis since, const net::Responder& responder,
                 const net::Response& response);
@@ -48,7 +50,8 @@
     state::Client& state_;
     Hooks hooks_;
     std::vector<wire::MachineType> types_;
-    std::size_t open_ = 0;  // requests waiting for the state service
+    std::size_t open_ = 0;     // requests waiting for the state service
+    std::size_t awaited_ = 0;  // cancellations that may be over at once
 };
 
 }  // namespace nickelramp::jobs
--- a/src/jobs/job.cpp
+++ b/src/jobs/job.cpp
@@ -90,6 +90,7 @@
     out.spec = std::move(*parsed);
     out.accepted_wall_ms = static_cast<std::int64_t>(wire::count(value, "at").value_or(0));
     out.cancelled = wire::flag(value, "cancelled").value_or(false);
+    out.unwanted = wire::flag(value, "unwanted").value_or(false);
     return out;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -173,7 +173,8 @@
 struct OpenRecord {
     wire::JobSpec spec;
     std::int64_t accepted_wall_ms = 0;
-    bool cancelled = false;
+    bool cancelled = false;  // and its user was told so at once, as earlier versions did
+    bool unwanted = false;   // its user will be told when nothing of it is left
 };
 std::optional<OpenRecord> read_open(const wire::Json& value);
 
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -15,7 +15,8 @@
         w.number(p.done);
         w.number(p.running);
     }
-    for (std::uint64_t v : {m.leave_term, m.leave_clock_ms, m.answered_age_ms}) w.number(v);
+    for (std::uint64_t v : {m.leave_term, m.leave_clock_ms, m.answered_age_ms, m.confirms})
+        w.number(v);
     w.number(m.lost.size());
     for (const auto& l : m.lost) {
         w.text(l.zone);
@@ -41,7 +42,8 @@
     }
     if (!r.good() || m.from.empty()) return std::nullopt;
     if (!r.rest().empty()) {  // earlier versions end here
-        for (std::uint64_t* v : {&m.leave_term, &m.leave_clock_ms, &m.answered_age_ms}) {
+        for (std::uint64_t* v :
+             {&m.leave_term, &m.leave_clock_ms, &m.answered_age_ms, &m.confirms}) {
             *v = r.number();
         }
         for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) {
@@ -143,7 +145,7 @@
     Writer w;
     w.text(m.from);
     for (std::uint64_t v :
-         {m.term, m.incarnation, m.asked_ms, m.view_age_ms, m.clock_ms, m.highest}) {
+         {m.term, m.incarnation, m.asked_ms, m.view_age_ms, m.clock_ms, m.answer_ms, m.highest}) {
         w.number(v);
     }
     w.number(m.lent.size());
@@ -155,8 +157,8 @@
     Reader r(body);
     Leave m;
     m.from = r.text();
-    for (std::uint64_t* v :
-         {&m.term, &m.incarnation, &m.asked_ms, &m.view_age_ms, &m.clock_ms, &m.highest}) {
+    for (std::uint64_t* v : {&m.term, &m.incarnation, &m.asked_ms, &m.view_age_ms, &m.clock_ms,
+                             &m.answer_ms, &m.highest}) {
         *v = r.number();
     }
     for (std::uint64_t n = r.count(); n > 0 && r.good(); --n) m.lent.push_back(r.number());
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -27,6 +27,7 @@
     // The last leave that the sender got, and how long ago it last answered a machine by it, plus
     // one; 0: never.
     std::uint64_t leave_term = 0, leave_clock_ms = 0, answered_age_ms = 0;
+    std::uint64_t confirms = 0;  // 1: it tells users of a cancellation only when that is over
     // Zones that the sender, as leader, has lost, and for how long: its successor knows as much.
     struct Lost {
         std::string zone;
@@ -44,6 +45,7 @@
     std::uint64_t asked_ms = 0;       // clock of the status that this answers
     std::uint64_t view_age_ms = 0;    // how old the leader's knowledge of cancellations is
     std::uint64_t clock_ms = 0;       // the leader's; comes back in the next status
+    std::uint64_t answer_ms = 0;      // it may answer for so long after that knowledge
     std::uint64_t highest = 0;        // no token beyond it was granted by then
     std::vector<std::uint64_t> lent;  // tokens of blocks that others hold
 };
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -270,10 +270,11 @@
                       [](const net::Reply&) {});
 }
 
-void Client::watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done) {
+void Client::watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done,
+                   Millis patience) {
     std::string target = "/watch?under=" + prefix + "&from=" + std::to_string(after) +
                          "&hold_ms=" + std::to_string(wait);
-    watches_.request("GET", target, "", wait + 5000,
+    watches_.request("GET", target, "", wait + patience,
                      [this, done = std::move(done)](const net::Reply& r) {
                          note(r);
                          ListReply out;
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -95,8 +95,10 @@
     void lease(Millis ttl, LeaseDone done);
     void renew(std::uint64_t lease, Millis timeout, LeaseDone done);
     void end_lease(std::uint64_t lease);
-    // One long poll; the caller opens the next.
-    void watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done);
+    // One long poll; the caller opens the next. Without an answer it ends `patience` after its
+    // time.
+    void watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done,
+               Millis patience = 5000);
 
     Millis last_answer() const { return last_answer_; }  // refusals aside
     // When 503s began that no answer has followed; -1: it answers.
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -20,6 +20,10 @@
     bool swallow_next = false;  // the next transaction is applied, but nobody is told
     std::size_t commits = 0;
     bool has(const std::string& key) const { return keys_.count(key) != 0; }
+    wire::Json value(const std::string& key) const {
+        auto it = keys_.find(key);
+        return it == keys_.end() ? wire::Json::object() : it->second.value;
+    }
     void end_hold(std::uint64_t id);
 
   private:
