Deletions of left-over records wait on a date of their own, not on the blocks'

A refused deletion of a finished job's records held back the writing of grants for a second: both used one retry date.

--- a/src/dispatch/checkpoint.cpp
+++ b/src/dispatch/checkpoint.cpp
@@ -244,7 +244,7 @@
 
 // Records of jobs that are over, beyond what their last transaction could take.
 void Dispatcher::drop_leftovers(Millis now) {
-    if (leftovers_.empty() || !confirmed_ || now < retry_blocks_at_) return;
+    if (leftovers_.empty() || !confirmed_ || now < retry_leftovers_at_) return;
     state::Txn txn;
     txn.conditions = conditions();
     while (!leftovers_.empty() && txn.writes.size() < settings_.state_txn_ops / 2) {
@@ -256,7 +256,7 @@
             if (reply.outcome == state::Outcome::ok || reply.outcome == state::Outcome::conflict)
                 return;
             for (const state::Write& w : txn.writes) leftovers_.push_back(w.key);
-            retry_blocks_at_ = t + 4 * kRetry;
+            retry_leftovers_at_ = t + 4 * kRetry;
         }));
 }
 
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -369,6 +369,7 @@
     bool blocks_in_flight_ = false;
     Millis retry_blocks_at_ = 0, next_blocks_at_ = 0;
     std::vector<std::string> leftovers_;  // run records of finished jobs to delete
+    Millis retry_leftovers_at_ = 0;
 
     std::vector<Index> poked_;
     std::size_t directs_ = 0;  // messages to machines that are not answered yet
