The leader's book in parts: one Book, and a class a duty around it

dispatch::Dispatcher was one class whose seven files all changed the same fields. Now book::Book has jobs, attempts and machines and the only functions that change their states; Owned<> members let everybody read and nobody else write, so the compiler holds that line. Around it: Outlook (forecasts, sums), Intake, Checkpoints, Grants, Rules, Order, Schedule, Supply, Moves, Lender, Silence, Courier. Dispatcher puts them together and says in which order a report, a tick or an answer asks them.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -259,7 +259,7 @@
                             if (block.outcome != state::Outcome::ok) return load_failed();
                             open_revision_ = open.revision;
                             view_fresh_ = began;
-                            dispatch::Outbox& outbox = leader_box_;
+                            book::Outbox& outbox = leader_box_;
                             dispatcher_ = std::make_unique<dispatch::Dispatcher>(
                                 settings_,
                                 dispatch::TermInfo{term_, leadership::kTermKey, term_version_},
@@ -577,7 +577,7 @@
 
 void Node::Box::direct(const std::string& machine, const std::string& address, std::uint64_t token,
                        std::uint64_t session, const std::vector<wire::Command>& commands,
-                       std::function<void(Millis, const dispatch::DirectReply&)> done) {
+                       std::function<void(Millis, const book::DirectReply&)> done) {
     Worker& worker = node_.workers_[machine];
     auto& client = worker.client;
     worker.used_at = node_.now();
@@ -592,14 +592,14 @@
     }
     client->request("POST", "/commands", wire::direct_commands(token, session, commands), kDirect,
                     [&n = node_, done = std::move(done)](const net::Reply& r) {
-                        dispatch::DirectReply out;
+                        book::DirectReply out;
                         if (r.outcome == net::Reply::Outcome::refused) {
-                            out.delivery = dispatch::Delivery::refused;
+                            out.delivery = book::Delivery::refused;
                         } else if (r.outcome == net::Reply::Outcome::answered &&
                                    (r.status == 200 || r.status == 409)) {
                             auto body = wire::decode_map(r.body);
                             out.report = body ? wire::parse_report(*body) : std::nullopt;
-                            if (out.report) out.delivery = dispatch::Delivery::answered;
+                            if (out.report) out.delivery = book::Delivery::answered;
                             out.executed = r.status == 200;
                         }
                         done(n.now(), out);
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -67,7 +67,7 @@
     void saw_cancellations(Millis until);
 
     // What books ask for; both kinds of book share it.
-    class Box : public dispatch::Outbox {
+    class Box : public book::Outbox {
       public:
         Box(Node& node, std::function<void(const std::string&)> deposed)
             : node_(node), deposed_(std::move(deposed)) {}
@@ -79,7 +79,7 @@
                   std::function<void(Millis, const state::ListReply&)> done) override;
         void direct(const std::string& machine, const std::string& address, std::uint64_t token,
                     std::uint64_t session, const std::vector<wire::Command>& commands,
-                    std::function<void(Millis, const dispatch::DirectReply&)> done) override;
+                    std::function<void(Millis, const book::DirectReply&)> done) override;
         void hire(const std::string& request, const std::string& type, const std::string& zone,
                   bool spot, std::uint32_t count,
                   std::function<void(Millis, const fleet::HireReply&)> done) override;
--- a/src/dispatch/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -3,9 +3,9 @@
 
 #include <algorithm>
 
-#include "dispatch/dispatcher.h"
+#include "book/book.h"
 
-namespace nickelramp::dispatch {
+namespace nickelramp::book {
 
 using jobs::JobState;
 using wire::ExitCause;
@@ -18,7 +18,7 @@
 constexpr std::size_t kMachineAtFault = 2;  // jobs that have failed on a machine
 }  // namespace
 
-void Dispatcher::set_attempt_state(Attempt& a, AttemptState s, Millis now) {
+void Book::set_attempt_state(Attempt& a, AttemptState s, Millis now) {
     if (a.state == s) return;
     Job& j = job_of(a);
     spdlog::debug("task {}/{} try {}: {} -> {}", j.spec.id, a.task, a.number, name(a.state),
@@ -27,121 +27,58 @@
         return x == AttemptState::running || x == AttemptState::saving;
     };
     if (runs(a.state) != runs(s)) {
-        j.running += runs(s) ? 1 : -1;
-        if (!j.service()) {
-            learned_[j.job_class].running += runs(s) ? 1 : -1;
-            learned_[j.job_class].share += runs(s) ? j.share : -j.share;
-        }
+        j.running.own() += runs(s) ? 1 : -1;
+        listener_.runs(j, runs(s));
     }
     if (a.state == AttemptState::recording) {
-        --j.recording;
-        if (a.in_commit == 0) --j.unrecorded;
+        --j.recording.own();
+        if (a.in_commit == 0) --j.unrecorded.own();
     }
-    a.set_state(s);
+    a.state.own() = s;
     if (s != AttemptState::running || a.running_since != 0) return;
     a.running_since = now;
-    if (metrics_ != nullptr && a.number == 1) {
-        metrics_->started(j.spec.job_class, static_cast<double>(now - j.accepted_at) / 1000.0);
-    }
+    listener_.first_run(j, a, now);
 }
 
-void Dispatcher::occupy(Attempt& a, Job& j, Machine& m) {
-    m.cpus_free -= j.spec.cpus;
-    m.gpus_free -= j.spec.gpus;
-    m.memory_free -= j.spec.memory_gb;
+void Book::occupy(Attempt& a, Job& j, Machine& m) {
+    m.cpus_free.own() -= j.spec.cpus;
+    m.gpus_free.own() -= j.spec.gpus;
+    m.memory_free.own() -= j.spec.memory_gb;
     m.attempts.push_back(&a);
-    ++m.live;
+    ++m.live.own();
     if (j.spec.shape != wire::Shape::array) {
-        ++m.firm;
-        if (j.gang()) ++m.gangs;
-        m.firm_cpus += j.spec.cpus;
+        ++m.firm.own();
+        if (j.gang()) ++m.gangs.own();
+        m.firm_cpus.own() += j.spec.cpus;
     }
     refresh(m);
-    teams_[j.team].cpus += j.spec.cpus;
-    teams_[j.team].gpus += j.spec.gpus;
-    ++j.live;
+    team_use_[j.team].cpus += j.spec.cpus;
+    team_use_[j.team].gpus += j.spec.gpus;
+    ++j.live.own();
 }
 
-void Dispatcher::release(Attempt& a, Job& j) {
+void Book::release(Attempt& a, Job& j) {
     if (Machine* m = machine_of(a)) {
-        m->cpus_free += j.spec.cpus;
-        m->gpus_free += j.spec.gpus;
-        m->memory_free += j.spec.memory_gb;
-        --m->live;
+        m->cpus_free.own() += j.spec.cpus;
+        m->gpus_free.own() += j.spec.gpus;
+        m->memory_free.own() += j.spec.memory_gb;
+        --m->live.own();
         if (j.spec.shape != wire::Shape::array) {
-            --m->firm;
-            if (j.gang()) --m->gangs;
-            m->firm_cpus -= j.spec.cpus;
+            --m->firm.own();
+            if (j.gang()) --m->gangs.own();
+            m->firm_cpus.own() -= j.spec.cpus;
         }
         refresh(*m);
     }
-    teams_[j.team].cpus -= j.spec.cpus;
-    teams_[j.team].gpus -= j.spec.gpus;
-    --j.live;
-    dirty_ = true;
-}
-
-// After any change of a machine's state or room: what is found and summed up without a look at
-// every machine.
-void Dispatcher::refresh(Machine& m) {
-    if (m.open() && m.type != kNone && m.cpus_free > placing::kSlack)
-        openings_.put(m.index, {m.type, m.zone, m.spot}, m.cpus_free, m.gpus_free);
-    else
-        openings_.remove(m.index);
-    bool up = m.up_at != 0 && m.zone != kNone && m.state != MachineState::booting &&
-              m.state != MachineState::lent && m.state != MachineState::gone;
-    if (!up) set_silent(m, false);
-    if (up != m.up) domains_.count(m.zone, up ? 1 : -1, 0);
-    m.up = up;
-    if (m.type == kNone) return;  // of no type's sums yet
-    Demand& demand = demand_of(m.type);
-    bool blank = m.open() && !m.spot && m.live == 0;
-    if (blank != m.blank) demand.blank += blank ? 1 : -1;
-    m.blank = blank;
-    double room = 0;
-    if (m.open() && m.spot) {
-        const wire::MachineType& t = types_[m.type];
-        room = std::max(0.0, m.cpus_free / std::max(1.0, t.cpus));
-        if (t.gpus > 0) room = std::min(room, std::max(0.0, m.gpus_free / t.gpus));
-    }
-    demand.spot_room += room - m.room;
-    m.room = room;
-    bool here = m.open() || m.state == MachineState::booting || m.state == MachineState::joining;
-    double flexible =
-        here ? std::max(0.0, 1 - m.firm_cpus / std::max(1.0, types_[m.type].cpus)) : 0;
-    demand.flexible[m.spot ? 1 : 0] += flexible - m.flexible;
-    m.flexible = flexible;
-    double places = 0;
-    m.counts_for_replicas = standing_.type != kNone && m.open() && !m.spot &&
-                            m.type < standing_.dearness.size() &&
-                            standing_.dearness[m.type].first <= placing::kDear;
-    if (m.counts_for_replicas) {
-        places = placing::how_many(m.cpus_free, m.gpus_free, m.memory_free, standing_.need, 1024);
-    }
-    standing_.places += places - m.places;
-    m.places = places;
-    bool spare = m.open() && !m.spot && m.firm == 0;
-    if (spare != m.spare) demand.spare += spare ? 1 : -1;
-    m.spare = spare;
-}
-
-void Dispatcher::reserve(Machine& m, Job& j, Millis until) {
-    drop_reservation(m);
-    m.reserved_for = j.index;
-    m.reserved_until = until;
-    j.reserved.push_back(m.index);
-}
-
-void Dispatcher::drop_reservation(Machine& m) {
-    if (m.reserved_for == kNone) return;
-    std::erase(slots_[m.reserved_for]->reserved, m.index);
-    m.reserved_for = kNone;
-    dirty_ = true;
+    team_use_[j.team].cpus -= j.spec.cpus;
+    team_use_[j.team].gpus -= j.spec.gpus;
+    --j.live.own();
+    touch();
 }
 
 // start(t,n) asks the automata: after acceptance, never after a cancel, and only once every earlier
 // attempt of the same task (of the whole gang, for a gang) is gone.
-bool Dispatcher::link_start(Job& j, Attempt& a) {
+bool Book::link_start(Job& j, Attempt& a) {
     using links::Links;
     auto& l = j.links;
     a.start_event = l.add_event({.rejectable = true, .delayable = true});
@@ -161,8 +98,7 @@
     return l.submit(a.start_event).answer == links::Answer::accepted;
 }
 
-Dispatcher::Attempt* Dispatcher::place(Job& j, std::uint32_t task, std::uint32_t number, Machine& m,
-                                       Millis now) {
+Attempt* Book::place(Job& j, std::uint32_t task, std::uint32_t number, Machine& m, Millis now) {
     auto owned = std::make_unique<Attempt>();
     Attempt& a = *owned;
     a.job = j.index;
@@ -180,18 +116,41 @@
     occupy(a, j, m);
     a.place = static_cast<std::uint32_t>(j.attempts.size());
     j.attempts.push_back(std::move(owned));
-    ++j.recording;
-    ++j.unrecorded;
+    ++j.recording.own();
+    ++j.unrecorded.own();
     j.chunks[task / jobs::kChunkTasks].dirty = true;
     if (m.reserved_for == j.index) drop_reservation(m);
     placing::touch_image(m, types_[m.type], j.image, j.spec.image_gb, false, now);
     return &a;
 }
 
-// Takes back an attempt whose start was never sent.
-void Dispatcher::unplace(Attempt& a, Millis now) { proven_gone(a, now); }
+void Book::carried(Attempt& a, std::uint64_t commit) {
+    if (a.in_commit == 0) --job_of(a).unrecorded.own();
+    a.in_commit = commit;
+}
+
+void Book::not_carried(Attempt& a) {
+    a.in_commit = 0;
+    if (a.state == AttemptState::recording) ++job_of(a).unrecorded.own();
+}
+
+void Book::recorded(Attempt& a, Millis now) {
+    set_attempt_state(a, AttemptState::recorded, now);
+    if (Machine* m = machine_of(a)) turn_.has_commands(*m);
+}
+
+void Book::sent(Attempt& a, const Machine& m, Millis now) {
+    set_attempt_state(a, AttemptState::starting, now);
+    a.token = m.token;
+    a.session = m.session;
+    a.answered_seq = 0;
+}
 
-void Dispatcher::proven_gone(Attempt& a, Millis now) {
+void Book::never_arrived(Attempt& a, Millis now) {
+    if (a.state == AttemptState::starting) set_attempt_state(a, AttemptState::recorded, now);
+}
+
+void Book::proven_gone(Attempt& a, Millis now) {
     Job& j = job_of(a);
     if (a.live()) {
         spdlog::debug("task {}/{} try {}: gone ({})", j.spec.id, a.task, a.number, name(a.state));
@@ -201,11 +160,11 @@
     }
     std::string id = j.spec.id;
     erase(a);
-    maybe_drop(id);
+    drop(id);
 }
 
 // The worker says that it has ended. It stays listed until the worker has forgotten it.
-void Dispatcher::exited(Attempt& a, ExitCause cause, Millis now) {
+void Book::exited(Attempt& a, ExitCause cause, Millis now) {
     if (!a.live()) return;
     Job& j = job_of(a);
     Machine* m = machine_of(a);
@@ -215,7 +174,7 @@
     set_attempt_state(a, AttemptState::exited, now);
     if (cause == ExitCause::done) {
         if (m != nullptr) m->failed_jobs.clear();
-        learn_run(j, a, now);
+        listener_.completed(j, a, now);
         if (j.done_dirty_since == 0) j.done_dirty_since = now;
         if (j.gang()) {
             // They complete together: if one is done, all are.
@@ -234,8 +193,42 @@
     over(j, a, now);
 }
 
+void Book::see(Attempt& a, const wire::TaskReport& t, Machine& m, Millis now) {
+    Job& j = job_of(a);
+    if (t.phase == wire::TaskPhase::exited) {
+        exited(a, t.cause, now);
+        return;
+    }
+    if (!a.live()) return;
+    switch (t.phase) {
+        case wire::TaskPhase::fetching:
+            set_attempt_state(a, AttemptState::fetching, now);
+            break;
+        case wire::TaskPhase::waiting:
+            set_attempt_state(a, AttemptState::waiting, now);
+            break;
+        case wire::TaskPhase::running:
+            set_attempt_state(a, AttemptState::running, now);
+            break;
+        case wire::TaskPhase::saving:
+            set_attempt_state(a, AttemptState::saving, now);
+            break;
+        case wire::TaskPhase::exited:
+            break;
+    }
+    if (m.type != kNone) {
+        placing::touch_image(m, types_[m.type], j.image, j.spec.image_gb,
+                             t.phase != wire::TaskPhase::fetching, now);
+    }
+    if (a.running_since != 0 && now - a.running_since > 5000 && !m.failed_jobs.empty() &&
+        j.failed_on.empty()) {
+        m.failed_jobs.clear();  // it runs tasks after all
+        m.probation_until = 0;
+    }
+}
+
 // The attempt holds nothing any more: gone(t,n).
-void Dispatcher::over(Job& j, Attempt& a, Millis now) {
+void Book::over(Job& j, Attempt& a, Millis now) {
     if (a.gone_event != kNone) {
         j.links.submit(a.gone_event);
         j.links.remove_event(a.start_event);
@@ -249,16 +242,15 @@
         if (j.live == 0) j.gang_broken = false;
     }
     want_places(j);
-    maybe_finish(j, now);
-    attend(j, now);
+    turn_.job_moved(j, now);
 }
 
-void Dispatcher::requeue(Job& j, const Attempt& a) {
+void Book::requeue(Job& j, const Attempt& a) {
     if (j.gang() || j.state != JobState::open || j.is_done(a.task)) return;
     j.waiting.push_back({a.task, a.number});
 }
 
-void Dispatcher::erase(Attempt& a) {
+void Book::erase(Attempt& a) {
     if (Machine* m = machine_of(a)) {
         std::erase(m->attempts, &a);
     }
@@ -269,27 +261,27 @@
     list.pop_back();
 }
 
-void Dispatcher::want_gone(Attempt& a, double grace_s, Millis now) {
+void Book::want_gone(Attempt& a, double grace_s, Millis now) {
     if (!a.live()) return;
     if (a.state == AttemptState::recording || a.state == AttemptState::recorded) {
-        unplace(a, now);
+        proven_gone(a, now);  // it was never sent
         return;
     }
     if (a.must_go && a.grace_s <= grace_s) return;
     a.must_go = true;
     a.grace_s = grace_s;
     a.told_stop = false;
-    if (Machine* m = machine_of(a)) poke(*m);
+    if (Machine* m = machine_of(a)) turn_.has_commands(*m);
 }
 
-void Dispatcher::stop_all(Job& j, Millis now) {
+void Book::stop_all(Job& j, Millis now) {
     // Taking back what was never sent changes the list.
     std::vector<Attempt*> list;
     for (const auto& a : j.attempts) list.push_back(a.get());
     for (Attempt* a : list) want_gone(*a, 0, now);
 }
 
-void Dispatcher::stop_saving(Attempt& a, Millis now) {
+void Book::stop_saving(Attempt& a, Millis now) {
     Job& j = job_of(a);
     double grace = j.spec.checkpoint_s > 0 ? j.spec.save_s + 1.0 : 0;
     if (!j.gang()) {
@@ -302,7 +294,7 @@
     for (Attempt* member : list) want_gone(*member, grace, now);
 }
 
-void Dispatcher::drain_attempt(Attempt& a, Millis now) {
+void Book::drain_attempt(Attempt& a, Millis now) {
     Job& j = job_of(a);
     if (!a.live() || j.state != JobState::open) return;
     // Replicas move at once; whoever can save saves; the rest runs on as long as it can.
@@ -311,7 +303,7 @@
 
 // A member is gone: the others cannot complete, so the attempt ends as a whole. Those that are
 // saving in an orderly stop go on.
-void Dispatcher::break_gang(Job& j, Millis now) {
+void Book::break_gang(Job& j, Millis now) {
     j.gang_broken = true;
     std::vector<Attempt*> list;
     for (const auto& a : j.attempts) {
@@ -322,7 +314,7 @@
 
 // Which is at fault, the machine or the job? A machine that fails several jobs is; a job that fails
 // on several machines is.
-void Dispatcher::note_error(Job& j, Machine& m, Millis now) {
+void Book::note_error(Job& j, Machine& m, Millis now) {
     auto add = [](std::vector<Index>& list, Index i) {
         if (std::find(list.begin(), list.end(), i) == list.end()) list.push_back(i);
     };
@@ -343,7 +335,7 @@
         return;
     }
     m.probation_until = now + kProbation;
-    if (m.failed_jobs.size() >= kMachineAtFault) return_machine(m, "fails every task");
+    if (m.failed_jobs.size() >= kMachineAtFault) give_back(m, "fails every task");
 }
 
-}  // namespace nickelramp::dispatch
+}  // namespace nickelramp::book
--- a/src/dispatch/guarantee.cpp
+++ b/src/book/guarantee.cpp
@@ -1,6 +1,6 @@
-#include "dispatch/guarantee.h"
+#include "book/guarantee.h"
 
-namespace nickelramp::dispatch {
+namespace nickelramp::book {
 
 void Guarantee::count(const jobs::Job& j, double sign) {
     cpus_ += sign * j.spec.cpus * j.spec.tasks;
@@ -57,4 +57,4 @@
     }
 }
 
-}  // namespace nickelramp::dispatch
+}  // namespace nickelramp::book
--- a/src/dispatch/guarantee.h
+++ b/src/book/guarantee.h
@@ -10,7 +10,7 @@
 #include "placing/placer.h"
 #include "wire/settings.h"
 
-namespace nickelramp::dispatch {
+namespace nickelramp::book {
 
 class Guarantee {
   public:
@@ -37,4 +37,4 @@
     double cpus_ = 0, gpus_ = 0;                   // of those that do
 };
 
-}  // namespace nickelramp::dispatch
+}  // namespace nickelramp::book
--- a/src/dispatch/outbox.h
+++ b/src/book/outbox.h
@@ -1,5 +1,5 @@
-// What the dispatcher asks of the world. Every call is answered later, once, with the time of the
-// answer, unless the term ends first. Tests put a simulated world behind it.
+// What the parts of a term ask of the world. Every call is answered later, once, with the time of
+// the answer, unless the term ends first. Tests put a simulated world behind it.
 #pragma once
 #include <functional>
 #include <optional>
@@ -11,7 +11,7 @@
 #include "state/client.h"
 #include "wire/messages.h"
 
-namespace nickelramp::dispatch {
+namespace nickelramp::book {
 
 enum class Delivery { answered, refused, unknown };  // refused: nothing arrived there
 
@@ -42,4 +42,4 @@
     virtual void deposed(const std::string& why) = 0;
 };
 
-}  // namespace nickelramp::dispatch
+}  // namespace nickelramp::book
--- a/src/dispatch/commands.cpp
+++ b/src/dispatch/courier.cpp
@@ -1,13 +1,19 @@
-// Commands to machines: starts go directly, stops and forgets directly and with every answer.
+#include "dispatch/courier.h"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-#include "dispatch/dispatcher.h"
-
 namespace nickelramp::dispatch {
 
+using book::Delivery;
+using book::DirectReply;
+using jobs::Attempt;
+using jobs::AttemptState;
+using jobs::Job;
 using wire::Command;
+using workers::Machine;
+using workers::MachineState;
 
 namespace {
 constexpr Millis kRetryRefused = 700;
@@ -17,33 +23,33 @@
 constexpr std::size_t kBatch = 200;     // commands in one message
 }  // namespace
 
-void Dispatcher::poke(Machine& m) {
+void Courier::poke(Machine& m) {
     if (m.poked) return;
     m.poked = true;
     poked_.push_back(m.index);
 }
 
-void Dispatcher::flush_poked(Millis now) {
+void Courier::flush(Millis now) {
     auto list = std::move(poked_);
     poked_.clear();
     for (Index i : list) {
-        Machine* m = roster_.at(i);
+        Machine* m = book_.machine_at(i);
         if (m == nullptr) continue;
         m->poked = false;
-        flush(*m, now);
+        send(*m, now);
     }
 }
 
 // Tasks that this book does not know of: left by an earlier term, or over already.
-void Dispatcher::stray_commands(Machine& m, const wire::Report& r, std::vector<Command>& out) {
+void Courier::stray_commands(Machine& m, const wire::Report& r, std::vector<Command>& out) {
     for (const wire::TaskReport& t : r.tasks) {
         if (out.size() >= kBatch) return;
         bool known = std::any_of(m.attempts.begin(), m.attempts.end(), [&](const Attempt* a) {
-            return a->number == t.attempt && a->task == t.task && job_of(*a).spec.id == t.job;
+            return a->number == t.attempt && a->task == t.task && book_.job_of(*a).spec.id == t.job;
         });
         if (known) continue;
         // Its block was taken back and its records are being read: they will name the task.
-        if (const Job* j = find_job(t.job); j != nullptr && j->lent_to != kNone) continue;
+        if (const Job* j = book_.job(t.job); j != nullptr && j->lent_to != kNone) continue;
         bool exited = t.phase == wire::TaskPhase::exited;
         if (!exited)
             spdlog::info("stray task {}/{} try {} on {}", t.job, t.task, t.attempt, m.name);
@@ -53,14 +59,14 @@
 }
 
 // Stops and forgets that hold until a report shows that they were obeyed.
-std::vector<Command> Dispatcher::standing_commands(Machine& m) {
+std::vector<Command> Courier::standing_commands(Machine& m) {
     std::vector<Command> out;
     for (Attempt* a : m.attempts) {
         if (out.size() >= kBatch) break;
-        Job& j = job_of(*a);
+        Job& j = book_.job_of(*a);
         if (a->live() && a->must_go) {
             out.push_back({Command::Op::stop, j.spec.id, a->task, a->number, a->grace_s});
-        } else if (!a->live() && settled(*a, m)) {
+        } else if (!a->live() && book::Book::settled(*a, m)) {
             // A completion is forgotten only once it is on record; and never while a start of the
             // attempt may be under way: it would run again.
             const jobs::Chunk& c = j.chunks[a->task / jobs::kChunkTasks];
@@ -73,60 +79,54 @@
     return out;
 }
 
-void Dispatcher::flush(Machine& m, Millis now) {
+void Courier::send(Machine& m, Millis now) {
     if (m.direct_in_flight || m.address.empty()) return;
     if (now < m.retry_direct_at) {
-        machine_agenda_.by(m.index, m.retry_direct_at);
+        book_.remind(m, m.retry_direct_at);
         return;
     }
-    if (directs_ >= std::max<std::size_t>(16, settings_.max_sockets / kDirectPart)) {
+    if (directs_ >= std::max<std::size_t>(16, term_.settings().max_sockets / kDirectPart)) {
         // A new leader asks every machine at once; the rest follow as answers come.
-        machine_agenda_.by(m.index, now + kRetryUnknown);
+        book_.remind(m, now + kRetryUnknown);
         return;
     }
     if (m.state == MachineState::booting || m.state == MachineState::lent || m.token == 0) return;
     std::vector<Command> commands;
     for (Attempt* a : m.attempts) {
         if (commands.size() >= kBatch) break;
-        Job& j = job_of(*a);
+        Job& j = book_.job_of(*a);
         if (a->live() && a->must_go && !a->told_stop) {
             commands.push_back({Command::Op::stop, j.spec.id, a->task, a->number, a->grace_s});
             a->told_stop = true;
-        } else if (a->state == AttemptState::recorded && !confirmed_) {
-            machine_agenda_.by(m.index, now + kRetryRefused);
+        } else if (a->state == AttemptState::recorded && !term_.confirmed()) {
+            book_.remind(m, now + kRetryRefused);
         } else if (a->state == AttemptState::recorded && m.confirmed() &&
                    j.state == jobs::JobState::open) {
-            if (j.gang() && !gang_recorded(j)) continue;
+            if (j.gang() && !j.recorded_whole()) continue;
             commands.push_back({Command::Op::start, j.spec.id, a->task, a->number, 0});
-            set_attempt_state(*a, AttemptState::starting, now);
-            a->token = m.token;
-            a->session = m.session;
-            a->answered_seq = 0;
+            book_.sent(*a, m, now);
         }
     }
     if (commands.empty() && !m.wants_confirm) return;
     m.wants_confirm = false;
     m.direct_in_flight = true;
     ++directs_;
-    outbox_.direct(
+    term_.outbox().direct(
         m.name, m.address, m.token, std::max<std::uint64_t>(1, m.session), commands,
-        guarded([this, name = m.name, token = m.token](Millis t, const DirectReply& reply) {
+        term_.guarded([this, name = m.name, token = m.token](Millis t, const DirectReply& reply) {
             on_direct(name, token, reply, t);
         }));
 }
 
-// Only gangs that are recorded as a whole are started.
-bool Dispatcher::gang_recorded(const Job& j) const { return j.recording == 0; }
-
-void Dispatcher::on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
-                           Millis now) {
+void Courier::on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
+                        Millis now) {
     --directs_;
-    Machine* m = roster_.find(name);
+    Machine* m = book_.machine(name);
     if (m == nullptr) return;
     m->direct_in_flight = false;
     if (reply.delivery == Delivery::answered && reply.report && reply.report->machine == name) {
         const wire::Report& r = *reply.report;
-        if (newer_leader(r)) return;
+        if (term_.outranked(r)) return;
         m->direct_failures = 0;
         for (Attempt* a : m->attempts) {
             if (a->state == AttemptState::starting && a->token == token && a->answered_seq == 0) {
@@ -134,7 +134,7 @@
                 if (!reply.executed) a->answered_seq = r.seq - 1;
             }
         }
-        absorb(*m, r, now);
+        listener_.reported(*m, r, now);
         if (!m->confirmed()) {
             m->wants_confirm = true;  // its session was not the one we thought, or the token is new
             poke(*m);
@@ -144,9 +144,7 @@
         bool lost = reply.delivery == Delivery::unknown;
         for (Attempt* a : m->attempts) {
             if (a->token != token || a->answered_seq != 0) continue;
-            if (a->state == AttemptState::starting && !lost) {
-                set_attempt_state(*a, AttemptState::recorded, now);  // it certainly never arrived
-            }
+            if (!lost) book_.never_arrived(*a, now);
             a->told_stop = false;
         }
         if (lost) {
@@ -154,36 +152,26 @@
             raise_token(*m);
         }
         // Hundreds that cannot be reached are not probed as one is.
-        m->retry_direct_at = now + (domains_.shut(m->zone) ? kRetryDark
+        m->retry_direct_at = now + (silence_.shut(m->zone) ? kRetryDark
                                     : lost                 ? kRetryUnknown
                                                            : kRetryRefused);
     }
     poke(*m);
-    flush_poked(now);
-    if (dirty_ && now >= next_pass_) schedule(now);
+    flush(now);
+    turn_.settle(now);
 }
 
-void Dispatcher::raise_token(Machine& m) {
+void Courier::raise_token(Machine& m) {
     constexpr std::uint64_t kMost = (std::uint64_t{1} << blocks::kGrantShift) - 1;
     if ((m.token & kMost) == kMost) return;  // thousands of lost messages: let silence decide
     ++m.token;
     m.wants_confirm = true;
 }
 
-void Dispatcher::machine_gone(Machine& m, Millis now) {
-    spdlog::info("machine {} ({}) is gone with {} tasks, {:.0f} s after its hire", m.name,
-                 kind_of(m), m.attempts.size(), static_cast<double>(now - m.hired_at) / 1000.0);
-    set_machine_state(m, MachineState::gone);
-    drop_reservation(m);
-    machine_agenda_.forget(m.index);
-    while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
-    if (m.type != kNone) {
-        --machines_in_[m.zone];
-        market_.freed({m.type, m.zone, m.spot});
-    }
-    ledger_.remove(m.name);
-    roster_.remove(&m);
-    dirty_ = true;
+std::vector<Command> Courier::commands_for(Machine& m, const wire::Report& r) {
+    std::vector<Command> out = standing_commands(m);
+    stray_commands(m, r, out);
+    return out;
 }
 
 }  // namespace nickelramp::dispatch
--- a/src/dispatch/overview.cpp
+++ b/src/dispatch/overview.cpp
@@ -11,12 +11,12 @@
 
 std::string Dispatcher::why_waiting(const Job& j, Millis now) const {
     if (now < j.hold_until) return "held back after failures";
-    if (!confirmed_) return "the state service does not answer the leader";
+    if (!term_.confirmed()) return "the state service does not answer the leader";
     std::uint32_t needs = j.gang() ? j.spec.tasks : 1;
-    if (room_in_limit(j) < needs) return "its team is at its limit";
+    if (rules_.room_in_limit(j) < needs) return "its team is at its limit";
     std::size_t suited = 0, coming = 0;
-    for (const Machine* m : roster_.all()) {
-        if (m->type == kNone || !allowed(j, *m)) continue;
+    for (const Machine* m : book_.machines()) {
+        if (m->type == kNone || !rules_.allowed(j, *m)) continue;
         if (m->open()) ++suited;
         if (m->state == MachineState::booting || m->state == MachineState::joining) ++coming;
         if (m->reserved_for == j.index && now < m->reserved_until)
@@ -31,7 +31,7 @@
     wire::Json waiting = wire::Json::array(), late = wire::Json::array(),
                machines = wire::Json::object(), lent = wire::Json::array();
     auto seconds_of = [](Millis t) { return static_cast<double>(t) / 1000.0; };
-    for (const auto& [id, j] : jobs_) {
+    for (const auto& [id, j] : book_.jobs()) {
         if (j->state != jobs::JobState::open) continue;
         if (j->unstarted() > 0 && waiting.size() < kMostListed) {
             waiting.push_back({{"id", id},
@@ -41,7 +41,7 @@
                                {"for_s", seconds_of(now - j->accepted_at)},
                                {"why", why_waiting(*j, now)}});
         }
-        for (const wire::Objective& o : settings_.objectives) {
+        for (const wire::Objective& o : term_.settings().objectives) {
             if (o.job_class != j->spec.job_class || late.size() >= kMostListed) continue;
             Millis due = 0;
             bool wait = o.kind == wire::Objective::Kind::wait;
@@ -54,7 +54,9 @@
                 continue;
             }
             Millis left = j->accepted_at + due - now;
-            Millis needed = wait ? 0 : j->unstarted() > 0 ? seconds(expected_run_s(*j)) : 0;
+            Millis needed = wait                 ? 0
+                            : j->unstarted() > 0 ? seconds(outlook_.expected_run_s(*j))
+                                                 : 0;
             if (left > needed) continue;
             late.push_back(
                 {{"id", id},
@@ -65,19 +67,19 @@
                  {"why", j->unstarted() > 0 ? why_waiting(*j, now) : "runs longer than it may"}});
         }
     }
-    for (const Machine* m : roster_.all()) {
+    for (const Machine* m : book_.machines()) {
         const char* state = workers::name(m->state);
         machines[state] = machines.value(state, 0) + 1;
     }
-    for (const auto& [block, l] : leases_) {
+    for (const auto& [block, l] : lender_.leases()) {
         lent.push_back({{"block", block},
                         {"holder", l.holder},
                         {"machines", l.room.size()},
                         {"jobs", l.jobs}});
     }
-    return {{"term", term_.number},
-            {"confirmed", confirmed_},
-            {"open_jobs", jobs_.size()},
+    return {{"term", term_.info().number},
+            {"confirmed", term_.confirmed()},
+            {"open_jobs", book_.jobs().size()},
             {"machines", machines},
             {"lent", lent},
             {"waiting", waiting},
--- /dev/null
+++ b/src/dispatch/watch.cpp
@@ -0,0 +1,91 @@
+// What time does to machines: they are late, silent, idle, or their leases are over.
+#include <algorithm>
+
+#include "dispatch/dispatcher.h"
+
+namespace nickelramp::dispatch {
+
+namespace {
+constexpr Millis kWatchBusy = 1'000;  // a machine that does well is looked at so often
+constexpr Millis kWatchOther = 200;
+constexpr Millis kReportSlack = 500;
+constexpr Millis kProbing = 3'000;  // two probes take longer than this to fail
+constexpr Millis kNeverReported = 45'000;
+constexpr double kHopeless = 4.0;  // boots beyond so many boot times are given back
+}  // namespace
+
+void Dispatcher::watch_machines(Millis now) {
+    for (Index i : book_.due_machines(now)) {
+        if (Machine* m = book_.machine_at(i)) watch_machine(*m, now);
+    }
+    supply_.send_returns(now);
+}
+
+// What time does to a machine: it is late, silent, idle, or its lease is over.
+void Dispatcher::watch_machine(Machine& m, Millis now) {
+    // A report is at most a quarter late. Two probes that fail after that tell enough: the cloud's
+    // answer to the return is what proves the machine gone.
+    const Millis probe_after = seconds(1.25 * term_.settings().report_s) + kReportSlack;
+    const Millis lost_after = probe_after + kProbing;
+    const Millis silent = now - m.heard_at;
+    bool well = m.usable() && !m.empty() && silent < probe_after - kWatchBusy;
+    book_.remind(m, now + (well ? kWatchBusy : kWatchOther));
+    if (m.state == MachineState::lent) return;
+    if (m.reserved_for != kNone && now >= m.reserved_until) book_.drop_reservation(m);
+    if (!m.direct_in_flight && now >= m.retry_direct_at) courier_.poke(m);
+    if (m.state == MachineState::booting) {
+        watch_boot(m, now);
+        return;
+    }
+    // Counted before any is given up: that many fall silent together must be seen before the first
+    // is returned.
+    if (m.up && silent > probe_after) book_.set_silent(m, true);
+    if (silent > probe_after && !m.direct_in_flight && now >= m.retry_direct_at &&
+        m.state != MachineState::gone) {
+        m.wants_confirm = true;
+        m.retry_direct_at = now;
+        courier_.poke(m);
+    }
+    if (silent > lost_after && m.direct_failures > 1) silence_.give_up(m, now);
+    if (silent > seconds(term_.settings().lease_s) && deputies_.over(m.lease_until, now)) {
+        // Whatever it had, it has killed by itself.
+        while (!m.attempts.empty()) book_.proven_gone(*m.attempts.back(), now);
+    }
+    if (!term_.holder()) watch_idle(m, now);
+}
+
+void Dispatcher::watch_boot(Machine& m, Millis now) {
+    double boot_s = m.type == kNone ? 60 : book_.types()[m.type].boot_s;
+    if (now - m.hired_at > seconds(boot_s * kHopeless + term_.settings().list_lag_s)) {
+        book_.give_back(m, "never came up");
+    } else if (m.listed_running_at != 0 && now - m.listed_running_at > kNeverReported &&
+               silence_.clear(m.zone)) {
+        book_.give_back(m, "runs but never reported");
+    }
+    if (now - m.hired_at > seconds(boot_s * supply::kLateBoots) && !m.late) {
+        m.late = true;
+        book_.touch();  // no longer counted on
+    }
+    if (!m.attempts.empty() && now > m.lease_until) {
+        // Known from a record only, and its lease is long over.
+        book_.give_back(m, "known from records only");
+    }
+}
+
+void Dispatcher::watch_idle(Machine& m, Millis now) {
+    if (!m.empty()) {
+        m.idle_since = 0;
+        return;
+    }
+    if (m.idle_since == 0) m.idle_since = now;
+    bool over = m.state == MachineState::draining && m.warned_until == 0;
+    if (m.open() && m.reserved_for == kNone && now - m.idle_since > supply_.idle_keep(m, now)) {
+        book_.give_back(m, "is idle");
+    } else if (over) {
+        book_.give_back(m, "is drained");
+    } else if (m.state == MachineState::draining && m.attempts.empty()) {
+        book_.give_back(m, "is taken back");
+    }
+}
+
+}  // namespace nickelramp::dispatch
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -11,13 +11,22 @@
 #include <vector>
 
 #include "base/names.h"
+#include "base/owned.h"
 #include "base/time.h"
 #include "links/links.h"
 #include "state/client.h"
 #include "wire/messages.h"
 
+namespace nickelramp::book {
+class Book;
+}
+
 namespace nickelramp::jobs {
 
+// Only the book changes these.
+template <typename T>
+using Kept = Owned<T, book::Book>;
+
 inline constexpr std::uint32_t kChunkTasks = 64;
 
 std::string job_key(const std::string& id);
@@ -52,7 +61,7 @@
     std::uint32_t number = 0;  // attempt number, from 1
     Index machine = kNone;
     std::uint32_t place = 0;  // in its job's list
-    AttemptState state = AttemptState::recording;
+    Kept<AttemptState> state{AttemptState::recording};
     std::uint64_t token = 0;         // of the last start sent, or of the term that recorded it
     std::uint64_t session = 0;       // of the machine when the start was sent
     std::uint64_t answered_seq = 0;  // report number of the direct answer; 0: none came
@@ -60,13 +69,11 @@
     bool must_go = false;  // a stop is wanted
     double grace_s = 0;
     wire::ExitCause cause = wire::ExitCause::none;
-    bool committed = false;  // a checkpoint with it has been committed
     Millis placed_at = 0;
     Millis running_since = 0;     // 0: not yet seen running
     std::uint64_t in_commit = 0;  // the commit that carries it
     links::Event start_event = kNone, gone_event = kNone;
 
-    void set_state(AttemptState s) { state = s; }
     bool live() const { return state != AttemptState::exited; }
 };
 
@@ -105,7 +112,7 @@
     std::vector<std::pair<double, double>> dearness;
     std::vector<std::uint32_t> places_on;  // tasks that a machine takes, by type
     Index best_type = kNone;               // where a place costs least
-    JobState state = JobState::open;
+    Kept<JobState> state{JobState::open};
     std::int64_t accepted_wall_ms = 0;
     Millis accepted_at = 0;     // the same on this process's steady clock
     std::uint64_t version = 0;  // stamp of open/<id>
@@ -115,11 +122,11 @@
     std::uint32_t done = 0;
     std::map<std::uint32_t, Chunk> chunks;
     std::vector<std::unique_ptr<Attempt>> attempts;  // live or not yet forgotten
-    std::uint32_t live = 0;                          // attempts that may hold a place
-    std::uint32_t running = 0;                       // of them, those that were seen to run
-    std::uint32_t recording = 0;                     // those whose checkpoint is not committed yet
-    std::uint32_t unrecorded = 0;  // and those that no transaction under way names either
-    bool queued = false;           // in the list of those that want places
+    Kept<std::uint32_t> live;                        // attempts that may hold a place
+    Kept<std::uint32_t> running;                     // of them, those that were seen to run
+    Kept<std::uint32_t> recording;                   // those whose checkpoint is not committed yet
+    Kept<std::uint32_t> unrecorded;  // and those that no transaction under way names either
+    bool queued = false;             // in the list of those that want places
     bool commit_in_flight = false;
     std::uint64_t commits = 0;
     Millis retry_commit_at = 0;
@@ -138,9 +145,9 @@
     bool within_guarantee = false;
     Urgency urgency;
     Patience patience = Patience::pressed;
-    bool anywhere = false;  // the cloud has nothing but what is kept for other work
-    double share = 0;       // of a machine, that a task takes
-    Index lent_to = kNone;  // block whose holder has it
+    bool anywhere = false;       // the cloud has nothing but what is kept for other work
+    double share = 0;            // of a machine, that a task takes
+    Kept<Index> lent_to{kNone};  // block whose holder has it
     std::uint64_t lent_done = 0, lent_running = 0;  // as the holder last said
     Millis starved_since = 0;                       // first time no place was found
     std::vector<Index> reserved;                    // machines where room was made for it
@@ -151,8 +158,8 @@
     links::Links links;
     links::Event accepted_event = kNone, cancelled_event = kNone;
 
-    void set_state(JobState s) { state = s; }
     bool gang() const { return spec.shape == wire::Shape::gang; }
+    bool recorded_whole() const { return recording == 0; }  // only such gangs are started
     bool service() const { return spec.shape == wire::Shape::service; }
     double dearness_of(Index type, bool spot) const {
         if (type >= dearness.size()) return 1;
--- /dev/null
+++ b/src/schedule/schedule.h
@@ -0,0 +1,30 @@
+// Who gets which machine: gangs whole, the rest task by task, and room made where that is worth it.
+#pragma once
+#include <cstddef>
+
+#include "book/book.h"
+#include "outlook/outlook.h"
+#include "schedule/rules.h"
+
+namespace nickelramp::schedule {
+
+class Schedule {
+  public:
+    Schedule(book::Book& book, outlook::Outlook& outlook, const Rules& rules)
+        : book_(book), outlook_(outlook), rules_(rules) {}
+
+    // Places what it can of the job; true if nothing of it is left to start.
+    bool try_job(jobs::Job& j, Millis now);
+
+  private:
+    bool place_some(jobs::Job& j, Millis now);
+    bool place_gang(jobs::Job& j, Millis now);
+    bool make_room(jobs::Job& j, std::uint32_t tasks, Millis now);
+
+    book::Book& book_;
+    outlook::Outlook& outlook_;
+    const Rules& rules_;
+    std::size_t sought_from_ = 0;  // where the search for victims goes on
+};
+
+}  // namespace nickelramp::schedule
--- a/src/workers/roster.cpp
+++ b/src/workers/roster.cpp
@@ -40,7 +40,7 @@
     return m;
 }
 
-Machine* Roster::find(const std::string& name) {
+Machine* Roster::find(const std::string& name) const {
     auto it = by_name_.find(name);
     return it == by_name_.end() ? nullptr : it->second;
 }
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -30,12 +30,14 @@
     bool present = false;  // false: still being fetched
 };
 
+using jobs::Kept;
+
 struct Machine {
     Index index = kNone;
     std::string name, address;
     Index type = kNone, zone = kNone;
     bool spot = false;
-    MachineState state = MachineState::booting;
+    Kept<MachineState> state{MachineState::booting};
     Millis hired_at = 0;
     Millis up_at = 0;
     Millis listed_running_at = 0;
@@ -49,15 +51,15 @@
     Millis warned_until = 0;       // spot notice: taken back about then; 0: none
 
     std::vector<jobs::Attempt*> attempts;
-    std::uint32_t live = 0;   // attempts that may hold a place
-    std::uint32_t firm = 0;   // of them, those of gangs and services
-    std::uint32_t gangs = 0;  // of those, the ones of gangs
-    double firm_cpus = 0;     // what gangs and services take
-    double cpus_free = 0, gpus_free = 0, memory_free = 0;
+    Kept<std::uint32_t> live;   // attempts that may hold a place
+    Kept<std::uint32_t> firm;   // of them, those of gangs and services
+    Kept<std::uint32_t> gangs;  // of those, the ones of gangs
+    Kept<double> firm_cpus;     // what gangs and services take
+    Kept<double> cpus_free, gpus_free, memory_free;
     std::vector<CachedImage> images;
     Millis idle_since = 0;
 
-    Index reserved_for = kNone;  // job that room is being made for
+    Kept<Index> reserved_for{kNone};  // job that room is being made for
     Millis reserved_until = 0;
     Millis closed_until = 0;  // being emptied
 
@@ -81,12 +83,11 @@
     bool counts_for_replicas = false;  // of a kind where room for them is kept
     double places = 0;                 // free for them
     bool spare = false;                // a whole-machine task could have it within seconds
-    bool up = false;                   // reports, or should
-    bool silent = false;               // has missed reports
-    bool shaded = false;               // not heard since its zone went dark
+    Kept<bool> up;                     // reports, or should
+    Kept<bool> silent;                 // has missed reports
+    Kept<bool> shaded;                 // not heard since its zone went dark
     Millis listed_at = 0;              // first seen in the cloud's list
 
-    void set_state(MachineState s) { state = s; }
     bool confirmed() const { return token != 0 && seen_token == token; }
     bool usable() const { return state == MachineState::ready; }
     // May be given tasks, and answers.
@@ -97,9 +98,9 @@
 class Roster {
   public:
     Machine* add(const std::string& name);
-    Machine* find(const std::string& name);
+    Machine* find(const std::string& name) const;
     // Null once the machine is gone.
-    Machine* at(Index i) { return machines_[i].get(); }
+    Machine* at(Index i) const { return machines_[i].get(); }
     void remove(Machine* m);  // keeps a tombstone of the name
     bool has(const std::string& name) const { return by_name_.count(name) != 0; }
     bool buried(const std::string& name) const { return buried_.count(name) != 0; }
--- a/tests/book_test.cpp
+++ b/tests/book_test.cpp
@@ -7,7 +7,7 @@
 #include <random>
 
 #include "base/agenda.h"
-#include "dispatch/guarantee.h"
+#include "book/guarantee.h"
 #include "placing/openings.h"
 #include "tests/world.h"
 
@@ -89,7 +89,7 @@
     std::mt19937 random(3);
     for (int day = 0; day < 30; ++day) {
         wire::Team rule{"red", day % 3 == 0 ? 40.0 : 0.0, 0, day % 4 == 0 ? 0.0 : 25.0, 0};
-        dispatch::Guarantee guarantee(rule);
+        book::Guarantee guarantee(rule);
         std::vector<std::unique_ptr<jobs::Job>> all;
         for (int step = 0; step < 120; ++step) {
             if (!all.empty() && random() % 3 == 0) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -70,7 +70,7 @@
 // A holder's process begins, perhaps after another died: without a book, as another incarnation.
 void World::start_holder(std::size_t i) {
     Node& n = *nodes_[i];
-    dispatch::Outbox& outbox = n;
+    book::Outbox& outbox = n;
     std::uint64_t incarnation = ++incarnations_;
     n.holding =
         std::make_unique<dispatch::Holding>(holder_settings_[i], "lead/term", outbox, incarnation);
@@ -161,7 +161,7 @@
     n.world = this;
     n.term = term_;
     n.leads = true;
-    dispatch::Outbox& outbox = n;
+    book::Outbox& outbox = n;
     n.book = std::make_unique<dispatch::Dispatcher>(
         settings_, dispatch::TermInfo{term_, "lead/term", keys_["lead/term"].version}, outbox,
         now_);
@@ -345,11 +345,11 @@
 
 void World::Node::direct(const std::string& machine, const std::string&, std::uint64_t token,
                          std::uint64_t session, const std::vector<wire::Command>& commands,
-                         std::function<void(Millis, const dispatch::DirectReply&)> done) {
+                         std::function<void(Millis, const book::DirectReply&)> done) {
     World& w = *world;
     if (w.trouble_.refused_direct > 0 && w.chance(w.trouble_.refused_direct)) {
-        dispatch::DirectReply reply;
-        reply.delivery = dispatch::Delivery::refused;
+        book::DirectReply reply;
+        reply.delivery = book::Delivery::refused;
         w.at(w.now_ + w.delay(10), [&w, reply, done] { done(w.now_, reply); });
         return;
     }
@@ -367,8 +367,8 @@
         if (it == w.machines_.end() || !it->second->up || it->second->removed || it->second->dead)
             return;
         Machine& m = *it->second;
-        dispatch::DirectReply reply;
-        reply.delivery = dispatch::Delivery::answered;
+        book::DirectReply reply;
+        reply.delivery = book::Delivery::answered;
         reply.executed = token >= m.token && session == m.session;
         if (reply.executed) {
             m.token = token;
@@ -380,7 +380,7 @@
         w.at(w.now_ + w.delay(10), [&w, reply, done] { done(w.now_, reply); });
     });
     w.at(w.now_ + 2000, [&w, done, replied] {
-        if (!*replied) done(w.now_, dispatch::DirectReply{});
+        if (!*replied) done(w.now_, book::DirectReply{});
     });
 }
 
--- a/tests/world.h
+++ b/tests/world.h
@@ -94,7 +94,7 @@
         std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> known;  // until forgotten
         std::size_t target = 0;
     };
-    struct Node : dispatch::Outbox {
+    struct Node : book::Outbox {
         World* world = nullptr;
         std::unique_ptr<dispatch::Dispatcher> book;
         std::unique_ptr<dispatch::Holding> holding;  // of the two that never lead
@@ -109,7 +109,7 @@
                   std::function<void(Millis, const state::ListReply&)>) override;
         void direct(const std::string&, const std::string&, std::uint64_t, std::uint64_t,
                     const std::vector<wire::Command>&,
-                    std::function<void(Millis, const dispatch::DirectReply&)>) override;
+                    std::function<void(Millis, const book::DirectReply&)>) override;
         void hire(const std::string&, const std::string&, const std::string&, bool, std::uint32_t,
                   std::function<void(Millis, const fleet::HireReply&)>) override;
         void give_back(const std::vector<std::string>&, std::function<void(Millis, bool)>) override;
