--- a/src/book/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -275,6 +275,9 @@
 }
 
 void Book::stop_all(Job& j, Millis now) {
+    // A member that was never sent is gone at once. That must not end the others from within, while
+    // this goes through them: it once went on with members that were erased.
+    if (j.gang() && j.state == JobState::open && j.live > 0) j.gang_broken = true;
     // Taking back what was never sent changes the list.
     std::vector<Attempt*> list;
     for (const auto& a : j.attempts) list.push_back(a.get());
--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -22,6 +22,7 @@
 }  // namespace
 
 bool Schedule::try_job(Job& j, Millis now) {
+    if (j.unstarted() == 0) return true;
     // Replicas stay for long: they take a dear place only when room on a cheap one can't be made
     // soon.
     j.avoids_dear = j.service() && (j.starved_since == 0 || now - j.starved_since < kRoomSoon);
