--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -205,7 +205,19 @@
             again_.after(kPlanPause);
             return;
         }
-        print(plan, plan_text(plan, command_.moves));
+        // Large ones come in pages.
+        if (plan_.is_null()) {
+            plan_ = plan;
+        } else {
+            for (Json& step : plan["steps"]) plan_["steps"].push_back(std::move(step));
+        }
+        if (const auto next = wire::count(plan, "next")) {
+            ask("GET", "/admin/plans/" + command_.id + "?from=" + std::to_string(*next), "",
+                [this](const Answer& page) { on_plan(page); });
+            return;
+        }
+        plan_.erase("next");
+        print(plan_, plan_text(plan_, command_.moves));
         if (state == "refused") code_ = kRefused;
     }
     void on_json(const Answer& a, std::string (*text)(const Json&)) {
@@ -226,6 +238,7 @@
     std::ostream& err_;
     std::function<void()> begin_;
     std::string body_;
+    Json plan_;           // what has come of it
     bool waits_ = false;  // for the time to ask again
     std::size_t left_ = 0;
     int code_ = kFine;
@@ -280,7 +293,8 @@
     cli.require_subcommand(1);
     cli.fallthrough();
     cli.add_option("--config", c.config, "TOML file that names the controllers");
-    cli.add_option("--controller", c.controllers, "a controller, HOST:PORT, instead of the file's");
+    cli.add_option("--controller", c.controllers, "a controller, HOST:PORT, instead of the file's")
+        ->allow_extra_args(false);
     cli.add_option("--give-up", c.give_up_s, "seconds to try for, in all")
         ->check(CLI::Range(1.0, 3600.0));
     cli.add_flag("--json", c.json, "print answers as JSON");
@@ -308,7 +322,7 @@
     plan->fallthrough();
     CLI::App* make = plan->add_subcommand("make", "make one; nothing is moved");
     make->add_option("id", c.id, "its name, of your choice")->required();
-    make->add_option("--machine", c.machines, "a machine to be emptied");
+    make->add_option("--machine", c.machines, "a machine to be emptied")->allow_extra_args(false);
     make->add_option("--zone", c.zone, "all machines of the zone");
     make->add_option("--type", c.type, "all machines of the type");
     make->add_flag("--all", c.all, "all machines");
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -21,6 +21,9 @@
     return !s.empty() && s.find_first_not_of("0123456789.-+e") == std::string::npos && s != "-";
 }
 
+// After a blank line.
+std::string below(const std::string& text) { return fmt::format("\n{}", text); }
+
 const Json& list_of(const Json& map, const char* name) {
     static const Json none = Json::array();
     const Json* v = wire::field(map, name);
@@ -87,11 +90,11 @@
         machines != nullptr && machines->is_object()) {
         std::vector<std::vector<std::string>> rows;
         for (const auto& [state, n] : machines->items()) rows.push_back({state, n.dump()});
-        if (!rows.empty()) out += "\n" + table({"machines", "number"}, rows);
+        if (!rows.empty()) out += below(table({"machines", "number"}, rows));
     }
     if (!list_of(*book, "waiting").empty()) {
-        out += "\n" +
-               rows_of(list_of(*book, "waiting"), {"id", "class", "team", "tasks", "for_s", "why"});
+        out += below(
+            rows_of(list_of(*book, "waiting"), {"id", "class", "team", "tasks", "for_s", "why"}));
     }
     return out;
 }
@@ -127,19 +130,18 @@
     }
     if (!steps.empty()) {
         out +=
-            "\n" + table({"machine", "type", "zone", "wave", "tasks", "from_s", "empty_s"}, steps);
+            below(table({"machine", "type", "zone", "wave", "tasks", "from_s", "empty_s"}, steps));
     }
     if (moves && !tasks.empty()) {
-        out +=
-            "\n" +
-            table({"machine", "task", "how", "to", "leaves_s", "back_s", "ends_s", "seen"}, tasks);
+        out += below(
+            table({"machine", "task", "how", "to", "leaves_s", "back_s", "ends_s", "seen"}, tasks));
     }
     if (!list_of(plan, "hires").empty()) {
-        out += "\n" + rows_of(list_of(plan, "hires"), {"type", "zone", "count", "price"});
+        out += below(rows_of(list_of(plan, "hires"), {"type", "zone", "count", "price"}));
     }
     if (!list_of(plan, "refusals").empty()) {
-        out += "\n" + rows_of(list_of(plan, "refusals"),
-                              {"job", "task", "machine", "due_s", "ends_s", "why", "instead"});
+        out += below(rows_of(list_of(plan, "refusals"),
+                             {"job", "task", "machine", "due_s", "ends_s", "why", "instead"}));
     }
     for (const Json& name : list_of(plan, "passed_over")) {
         if (name.is_string()) out += "passed over: " + name.get<std::string>() + "\n";
@@ -150,7 +152,7 @@
 std::string plans_text(const Json& plans) {
     if (list_of(plans, "plans").empty()) return "no plans\n";
     return rows_of(list_of(plans, "plans"),
-                   {"id", "state", "machines", "refusals", "empty_s", "cost"});
+                   {"id", "state", "machines", "refused", "empty_s", "cost"});
 }
 
 std::string error_text(int status, const std::string& body) {
--- a/src/drain/desk.cpp
+++ b/src/drain/desk.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <charconv>
+
 namespace nickelramp::drain {
 
 using net::Response;
@@ -23,9 +25,9 @@
     switch (planner.ask(*request, now)) {
         case Planner::Taken::fresh:
             spdlog::info("drain plan {} is asked for", request->id);
-            return json(201, plan_json(*planner.find(request->id), false));
+            return json(201, plan_json(*planner.find(request->id)));
         case Planner::Taken::known:
-            return json(200, plan_json(*planner.find(request->id), false));
+            return json(200, plan_json(*planner.find(request->id)));
         case Planner::Taken::different:
             return json(409, {{"error", "the id stands for another plan"}, {"field", "id"}});
         case Planner::Taken::full:
@@ -49,10 +51,18 @@
     if (one) {
         const Plan* plan = planner->find(q.path.substr(base.size() + 1));
         if (plan == nullptr) return json(404, {{"error", "no such plan"}});
-        return json(200, plan_json(*plan, true));
+        std::size_t from = 0;
+        if (!q.query.empty()) {
+            const bool known = q.query.rfind("from=", 0) == 0;
+            const char* end = q.query.data() + q.query.size();
+            if (!known || std::from_chars(q.query.data() + 5, end, from).ptr != end) {
+                return json(400, {{"error", "missing or invalid"}, {"field", "from"}});
+            }
+        }
+        return json(200, plan_page(*plan, from));
     }
     Json list = Json::array();
-    for (const Plan* p : planner->all()) list.push_back(plan_json(*p, false));
+    for (const Plan* p : planner->all()) list.push_back(plan_json(*p));
     return json(200, {{"plans", list}});
 }
 
--- a/src/drain/plan.cpp
+++ b/src/drain/plan.cpp
@@ -11,6 +11,7 @@
 namespace {
 constexpr std::size_t kMostNamed = 10'000;
 constexpr std::size_t kLongestName = 100;
+constexpr std::size_t kMovesAPage = 300;
 
 bool good_id(const std::string& id) {
     return !id.empty() && id.size() <= kLongestName &&
@@ -86,24 +87,30 @@
     return "?";
 }
 
-Json plan_json(const Plan& p, bool whole) {
-    Json out = {{"id", p.request.id},   {"state", name(p.state)}, {"machines", p.steps.size()},
-                {"empty_s", p.empty_s}, {"cost", p.cost},         {"refusals", p.refusals.size()}};
-    if (!whole) return out;
+Json plan_json(const Plan& p) {
+    return {{"id", p.request.id},   {"state", name(p.state)}, {"machines", p.steps.size()},
+            {"empty_s", p.empty_s}, {"cost", p.cost},         {"refused", p.refusals.size()}};
+}
+
+Json plan_page(const Plan& p, std::size_t from) {
+    Json out = plan_json(p);
     auto maybe = [](const std::optional<double>& v) { return v ? Json(*v) : Json(nullptr); };
     out["steps"] = Json::array();
-    for (const Step& s : p.steps) {
-        Json moves = Json::array();
+    std::size_t at = from;
+    for (std::size_t moves = 0; at < p.steps.size() && moves < kMovesAPage; ++at) {
+        const Step& s = p.steps[at];
+        moves += 1 + s.moves.size();
+        Json list = Json::array();
         for (const Move& m : s.moves) {
-            moves.push_back({{"job", m.job},
-                             {"task", m.task},
-                             {"how", name(m.how)},
-                             {"to", m.to},
-                             {"hired", m.hired},
-                             {"leaves_s", m.leaves_s},
-                             {"back_s", m.back_s},
-                             {"ends_s", maybe(m.ends_s)},
-                             {"seen", m.seen}});
+            list.push_back({{"job", m.job},
+                            {"task", m.task},
+                            {"how", name(m.how)},
+                            {"to", m.to},
+                            {"hired", m.hired},
+                            {"leaves_s", m.leaves_s},
+                            {"back_s", m.back_s},
+                            {"ends_s", maybe(m.ends_s)},
+                            {"seen", m.seen}});
         }
         out["steps"].push_back({{"machine", s.machine},
                                 {"type", s.type},
@@ -111,8 +118,10 @@
                                 {"wave", s.wave},
                                 {"from_s", s.from_s},
                                 {"empty_s", s.empty_s},
-                                {"moves", moves}});
+                                {"moves", list}});
     }
+    if (at < p.steps.size()) out["next"] = at;
+    if (from > 0) return out;
     out["refusals"] = Json::array();
     for (const Refusal& r : p.refusals) {
         out["refusals"].push_back({{"job", r.job},
--- a/src/drain/plan.h
+++ b/src/drain/plan.h
@@ -78,6 +78,9 @@
     double cost = 0;  // of what is hired while what it takes the place of is still there
 };
 
-wire::Json plan_json(const Plan& plan, bool whole);
+wire::Json plan_json(const Plan& plan);
+// With its steps from that one on, so many that the answer stays small; "next" says where the next
+// page begins. All that is not steps is on the first.
+wire::Json plan_page(const Plan& plan, std::size_t from);
 
 }  // namespace nickelramp::drain
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -184,6 +184,50 @@
     EXPECT_EQ(asked.size(), 2u);
 }
 
+// Asked of whoever leads, waited for, and read page by page.
+TEST_F(CtlOnLoopback, APlanIsPutTogetherFromItsPages) {
+    auto step = [](const char* machine, double empty_s) {
+        return Json{
+            {"machine", machine}, {"type", "g4"},       {"zone", "a"},           {"wave", 0},
+            {"from_s", 0.0},      {"empty_s", empty_s}, {"moves", Json::array()}};
+    };
+    Json plan = {
+        {"id", "up"}, {"state", "planning"}, {"machines", 0}, {"empty_s", 0.0}, {"cost", 0.0}};
+    auto json = [](int status, const Json& body, int retry_after = 0) {
+        return net::Response{status, body.dump(), retry_after, "application/json"};
+    };
+    answers = {json(503, {{"error", "this controller does not lead"}}, 1), json(201, plan),
+               json(200, plan)};
+    plan["state"] = "refused";
+    plan["machines"] = 2;
+    plan["empty_s"] = 7.5;
+    plan["steps"] = {step("m-1", 4)};
+    plan["refusals"] = {{{"job", "job-1"},
+                         {"task", 0},
+                         {"machine", "m-1"},
+                         {"why", "it would miss its deadline"},
+                         {"instead", "later"},
+                         {"due_s", 30.0},
+                         {"ends_s", 40.5}}};
+    plan["next"] = 1;
+    answers.push_back(json(200, plan));
+    answers.push_back(
+        json(200, {{"id", "up"}, {"state", "refused"}, {"steps", {step("m-2", 7.5)}}}));
+    EXPECT_EQ(
+        ctl({"--controller", kThere, "plan", "make", "--machine", "m-1", "--machine", "m-2", "up"}),
+        ctl::kRefused);
+    EXPECT_EQ(said,
+              "plan up is refused: 2 machines, empty after 7.5 s, costs 0 more\n\n"
+              "machine  type  zone  wave  tasks  from_s  empty_s\n"
+              "m-1      g4    a        0      0       0        4\n"
+              "m-2      g4    a        0      0       0      7.5\n\n"
+              "job    task  machine  due_s  ends_s  why                         instead\n"
+              "job-1     0  m-1         30    40.5  it would miss its deadline  later\n");
+    EXPECT_EQ(asked, (std::vector<std::string>{"POST /admin/plans", "POST /admin/plans",
+                                               "GET /admin/plans/up", "GET /admin/plans/up",
+                                               "GET /admin/plans/up"}));
+}
+
 TEST_F(CtlOnLoopback, NobodyThereIsSaidSo) {
     EXPECT_EQ(ctl({"--controller", kNowhere, "--give-up", "1", "show", "job-5"}), ctl::kNobody);
     EXPECT_EQ(complained.rfind("no controller has answered (", 0), 0u) << complained;
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -240,6 +240,22 @@
         ASSERT_LT(++turns, 100u);
     }
     EXPECT_GE(turns, 8u);
+    // So is a page of it.
+    std::set<std::string> named;
+    std::size_t from = 0, pages = 0;
+    for (;; ++pages) {
+        const Json page = drain::plan_page(*p.planner.find("d"), from);
+        std::size_t moves = 0;
+        for (const Json& s : page["steps"]) {
+            EXPECT_TRUE(named.insert(s["machine"]).second);
+            moves += s["moves"].size();
+        }
+        EXPECT_LE(moves, 304u);
+        if (!page.contains("next")) break;
+        from = page["next"];
+    }
+    EXPECT_EQ(named.size(), 200u);
+    EXPECT_GE(pages, 2u);
     EXPECT_EQ(p.planner.advance(2000), 0u);
 }
 
@@ -279,6 +295,12 @@
     EXPECT_EQ(ask("PUT", "/admin/plans/x", "").status, 405);
     p.planner.advance(1000);
     EXPECT_EQ(Json::parse(ask("GET", "/admin/plans/x", "").body)["state"], "ready");
+    auto page = [&](const std::string& query) {
+        return drain::answer({"GET", "/admin/plans/x", query, ""}, &p.planner, 1000);
+    };
+    EXPECT_EQ(page("from=x").status, 400);
+    EXPECT_EQ(page("to=1").status, 400);
+    EXPECT_TRUE(Json::parse(page("from=99").body)["steps"].empty());
     for (int n = 0; n < 40; ++n) {
         const std::string body = R"({"id": "p)" + std::to_string(n) + R"(", "zone": "a"})";
         const net::Response r = ask("POST", "/admin/plans", body);
