--- a/src/drain/plan.cpp
+++ b/src/drain/plan.cpp
@@ -71,6 +71,8 @@
             return "saves";
         case How::runs_out:
             return "runs_out";
+        case How::ending:
+            return "ending";
     }
     return "?";
 }
--- a/src/drain/plan.h
+++ b/src/drain/plan.h
@@ -27,7 +27,8 @@
 // moves:    a replica stops and starts elsewhere
 // saves:    stops, saves and goes on elsewhere; of a gang, all members do
 // runs_out: stays to its end, since what it has done could not be saved
-enum class How { moves, saves, runs_out };
+// ending:   was told to stop already
+enum class How { moves, saves, runs_out, ending };
 const char* name(How h);
 
 // Seconds from the plan's beginning.
--- a/src/drain/planner.cpp
+++ b/src/drain/planner.cpp
@@ -142,6 +142,11 @@
     move.job = j.spec.id;
     move.task = a.task;
     move.seen = outlook_.seen(j);
+    if (a.must_go || j.state != jobs::JobState::open) {
+        move.how = How::ending;
+        move.leaves_s = move.back_s = a.grace_s + kStopS;
+        return move;
+    }
     double left_s = 0;  // of its run, at the plan's beginning
     if (!j.service()) {
         const double run_s = outlook_.expected_run_s(j);
@@ -256,7 +261,7 @@
     double least = std::numeric_limits<double>::infinity();
     Bin bin;
     for (Index t = 0; t < book_.types().size() && t < j.allowed_type.size(); ++t) {
-        if (j.allowed_type[t] == 0) continue;
+        if (j.allowed_type[t] == 0 || rules_.left_to_others(j, t)) continue;
         for (const std::string& zone : book_.types()[t].zones) {
             const Index z = book_.zones().find(zone);
             if (silence_.shut(z) || !zone_ok(d, j, z)) continue;
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -190,6 +190,21 @@
     EXPECT_EQ(plan.state, PlanState::ready);
 }
 
+// A job that is being cancelled needs no place elsewhere.
+TEST(Drain, WhatIsBeingStoppedIsNotPlacedAnew) {
+    Planned p;
+    Machine& m = p.machine("m-1", "g4", "a");
+    Job& j = p.enter(job("job-1", "standing", 2, 1), 1000);
+    p.run(j, 1000);
+    p.intake.cancel(j, 1500);
+    ASSERT_EQ(m.live, 2u);
+    const drain::Plan& plan = p.plan({{"id", "d"}, {"zone", "a"}}, 2000);
+    EXPECT_EQ(plan.state, PlanState::ready);
+    EXPECT_TRUE(plan.hires.empty());
+    EXPECT_EQ(plan.steps[0].moves[0].how, How::ending);
+    EXPECT_DOUBLE_EQ(plan.empty_s, 2);
+}
+
 TEST(Drain, AReplicaThatWouldBeAwayTooLongIsToldOf) {
     wire::Settings s = test::world_settings();
     s.objectives = {{wire::Objective::Kind::wait, "standing", 8, 1, 0}};
