--- a/src/admin/desk.cpp
+++ b/src/admin/desk.cpp
@@ -73,6 +73,8 @@
     } else if (path == "/admin/metrics" && get) {
         hooks_.gather();
         responder.send({200, metrics_.text(), 0, "text/plain; version=0.0.4"});
+    } else if (hooks_.plans && path.rfind("/admin/plans", 0) == 0) {
+        responder.send(hooks_.plans(request));
     } else if (path == kSettings && get) {
         responder.send(json(200, options_json(options_)));
     } else if (path.rfind(kSettings + "/", 0) == 0) {
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <random>
 
+#include "drain/desk.h"
 #include "net/address.h"
 #include "peers/standing.h"
 
@@ -39,7 +40,7 @@
 }
 }  // namespace
 
-Node::Node(uv_loop_t* loop, const wire::Settings& settings)
+Node::Node(uv_loop_t* loop, const wire::Settings& settings, const Features& features)
     : loop_(loop),
       settings_(settings),
       server_(loop, settings.max_sockets * 7 / 10,
@@ -105,7 +106,10 @@
       holding_(settings, leadership::kTermKey, holder_box_, seed_of(settings.name) | 1),
       deputy_(settings),
       bury_timer_(loop, [this] { holding_.bury(); }),
-      admin_(loop, state_, metrics_, {[this] { return status(); }, [this] { gather(); }},
+      admin_(loop, state_, metrics_,
+             {[this] { return status(); }, [this] { gather(); },
+              features.plans ? [this](const net::Request& q) { return plans(q); }
+                             : std::function<net::Response(const net::Request&)>()},
              [this](const admin::Options& options) {
                  if (dispatcher_) dispatcher_->set_options(options);
              }) {}
@@ -498,6 +502,11 @@
     return out;
 }
 
+net::Response Node::plans(const net::Request& request) {
+    return drain::answer(request, book_ == Book::running ? &dispatcher_->planner() : nullptr,
+                         now());
+}
+
 void Node::gather() {
     if (book_ != Book::running) return;
     auto s = dispatcher_->summary();
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -21,9 +21,14 @@
 
 namespace nickelramp::app {
 
+// What is not served unless the command line asks for it.
+struct Features {
+    bool plans = false;  // drain plans, /admin/plans
+};
+
 class Node {
   public:
-    Node(uv_loop_t* loop, const wire::Settings& settings);
+    Node(uv_loop_t* loop, const wire::Settings& settings, const Features& features);
 
     // 0 or a libuv error.
     int start();
@@ -61,6 +66,7 @@
     bool peers_served() const;
     wire::Json status() const;
     void gather();
+    net::Response plans(const net::Request& request);
     bool state_served() const;
     void send_grants();
     void send_leaves();
--- /dev/null
+++ b/src/ctl/program.cpp
@@ -0,0 +1,387 @@
+#include "ctl/program.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <functional>
+#include <istream>
+#include <optional>
+#include <ostream>
+#include <random>
+#include <sstream>
+
+#include "ctl/asker.h"
+#include "ctl/show.h"
+#include "drain/plan.h"
+#include "wire/messages.h"
+
+namespace nickelramp::ctl {
+
+using wire::Json;
+
+namespace {
+
+constexpr double kLeastEveryS = 0.1;
+constexpr Millis kPlanPause = 300;
+
+struct Command {
+    std::string config;
+    std::vector<std::string> controllers;
+    bool json = false;
+    double watch_s = 0;  // 0: once
+    double give_up_s = 0;
+    std::string file = "-", id, setting, value;
+    // Of a drain plan.
+    std::vector<std::string> machines;
+    std::string zone, type;
+    bool all = false, moves = false;
+    std::uint32_t at_once = 0;
+};
+
+class Program {
+  public:
+    Program(uv_loop_t* loop, const Config& config, const Command& command, std::ostream& out,
+            std::ostream& err)
+        : asker_(loop, config, std::random_device{}()),
+          command_(command),
+          again_(loop, [this] { begin(); }),
+          out_(out),
+          err_(err) {}
+
+    void submit(const Json& job) {
+        body_ = wire::encode(job);
+        begin_ = [this] { ask("POST", "/work", body_, [this](const Answer& a) { on_job(a); }); };
+        begin();
+    }
+    void show() {
+        begin_ = [this] {
+            ask("GET", "/work/" + command_.id, "", [this](const Answer& a) { on_job(a); });
+        };
+        begin();
+    }
+    void abort() {
+        begin_ = [this] {
+            ask("POST", "/work/" + command_.id + "/abort", "",
+                [this](const Answer& a) { on_job(a); });
+        };
+        begin();
+    }
+    // What only the leader knows is asked for until one answers that is it.
+    void status(std::string (*text)(const Json&)) {
+        begin_ = [this, text] {
+            left_ = asker_.controllers();
+            ask("GET", "/admin/status", "", [this, text](const Answer& a) { on_status(a, text); });
+        };
+        begin();
+    }
+    void settings() {
+        begin_ = [this] {
+            ask("GET", "/admin/settings", "",
+                [this](const Answer& a) { on_json(a, settings_text); });
+        };
+        begin();
+    }
+    void set(const Json& value) {
+        body_ = Json{{"value", value}}.dump();
+        begin_ = [this] {
+            ask("PUT", "/admin/settings/" + command_.setting, body_,
+                [this](const Answer& a) { on_json(a, settings_text); });
+        };
+        begin();
+    }
+    // Asks for a plan, and then until it is made.
+    void make_plan(const Json& request) {
+        body_ = request.dump();
+        begin_ = [this] {
+            ask("POST", "/admin/plans", body_, [this](const Answer& a) {
+                if (fine(a)) show_plan();
+            });
+        };
+        begin();
+    }
+    void show_plan() {
+        begin_ = [this] {
+            ask("GET", "/admin/plans/" + command_.id, "", [this](const Answer& a) { on_plan(a); });
+        };
+        begin();
+    }
+    void list_plans() {
+        begin_ = [this] {
+            ask("GET", "/admin/plans", "", [this](const Answer& a) { on_json(a, plans_text); });
+        };
+        begin();
+    }
+    bool busy() const { return waits_ || !asker_.idle(); }
+    int code() const { return code_; }
+
+  private:
+    void begin() {
+        waits_ = false;
+        begin_();
+    }
+    void ask(std::string method, std::string target, std::string body, Asker::Done done) {
+        asker_.ask(std::move(method), std::move(target), std::move(body), std::move(done));
+    }
+    // False when there is nothing to be printed but the trouble.
+    bool fine(const Answer& a) {
+        if (!a.given) {
+            err_ << "no controller has answered (" << a.tries << " tries)";
+            if (a.reached) err_ << "; what was asked for may have been done all the same";
+            err_ << "\n";
+            code_ = kNobody;
+            return false;
+        }
+        if (a.status >= 400) {
+            err_ << error_text(a.status, a.body);
+            code_ = kRefused;
+            return false;
+        }
+        return true;
+    }
+    void print(const Json& answer, const std::string& text) {
+        if (command_.json)
+            out_ << answer.dump(2, ' ', false, Json::error_handler_t::replace) << "\n";
+        else
+            out_ << text;
+        out_.flush();
+    }
+    void broken() {
+        err_ << "the answer cannot be read\n";
+        code_ = kNobody;
+    }
+    void watch() {
+        if (command_.watch_s <= 0) return;
+        waits_ = true;
+        again_.after(seconds(command_.watch_s));
+    }
+    void on_job(const Answer& a) {
+        if (!fine(a)) return;
+        auto job = wire::decode_map(a.body);
+        if (!job) {
+            broken();
+            return;
+        }
+        print(*job, job_text(*job));
+        const auto status = wire::text(*job, "status");
+        const bool over = status == wire::final_name(wire::JobStatus::done) ||
+                          status == wire::final_name(wire::JobStatus::cancelled);
+        if (!over) watch();
+    }
+    void on_status(const Answer& a, std::string (*text)(const Json&)) {
+        if (!fine(a)) return;
+        Json status = Json::parse(a.body, nullptr, false);
+        if (!status.is_object()) {
+            broken();
+            return;
+        }
+        if (wire::field(status, "book") == nullptr && --left_ > 0) {
+            // Not the leader: the next one may be.
+            const std::size_t next = (a.controller + 1) % asker_.controllers();
+            asker_.ask(
+                "GET", "/admin/status", "",
+                [this, text, status](const Answer& other) {
+                    if (other.given && other.status < 400) {
+                        on_status(other, text);
+                    } else {
+                        print(status, text(status));
+                        watch();
+                    }
+                },
+                next);
+            return;
+        }
+        print(status, text(status));
+        watch();
+    }
+    void on_plan(const Answer& a) {
+        if (!fine(a)) return;
+        Json plan = Json::parse(a.body, nullptr, false);
+        if (!plan.is_object()) {
+            broken();
+            return;
+        }
+        const auto state = wire::text(plan, "state");
+        if (state == "planning") {
+            waits_ = true;
+            again_.after(kPlanPause);
+            return;
+        }
+        print(plan, plan_text(plan, command_.moves));
+        if (state == "refused") code_ = kRefused;
+    }
+    void on_json(const Answer& a, std::string (*text)(const Json&)) {
+        if (!fine(a)) return;
+        Json body = Json::parse(a.body, nullptr, false);
+        if (!body.is_object()) {
+            broken();
+            return;
+        }
+        print(body, text(body));
+        watch();
+    }
+
+    Asker asker_;
+    const Command& command_;
+    net::Timer again_;
+    std::ostream& out_;
+    std::ostream& err_;
+    std::function<void()> begin_;
+    std::string body_;
+    bool waits_ = false;  // for the time to ask again
+    std::size_t left_ = 0;
+    int code_ = kFine;
+};
+
+// A job as JSON, checked as a controller would, so that a slip is told before anybody is asked.
+std::optional<Json> read_job(const std::string& file, std::istream& in, std::ostream& err) {
+    std::stringstream text;
+    if (file == "-") {
+        text << in.rdbuf();
+    } else {
+        std::ifstream f(file);
+        if (!f) {
+            err << "cannot read " << file << "\n";
+            return std::nullopt;
+        }
+        text << f.rdbuf();
+    }
+    Json job;
+    try {
+        job = Json::parse(text.str());
+    } catch (const Json::parse_error& e) {
+        err << file << ": " << e.what() << "\n";
+        return std::nullopt;
+    }
+    std::string error;
+    if (!job.is_object() || !wire::parse_job(job, error)) {
+        err << file << ": missing or invalid: " << (job.is_object() ? error : "a map") << "\n";
+        return std::nullopt;
+    }
+    return job;
+}
+
+void close_loop(uv_loop_t* loop) {
+    // Connections that are kept open, and handles that are closing.
+    uv_walk(
+        loop,
+        [](uv_handle_t* h, void*) {
+            if (uv_is_closing(h) == 0) uv_unref(h);
+        },
+        nullptr);
+    uv_run(loop, UV_RUN_DEFAULT);
+}
+
+}  // namespace
+
+int run(const std::vector<std::string>& arguments, std::istream& in, std::ostream& out,
+        std::ostream& err) {
+    CLI::App cli{"nickelrampctl: talks to a nickelramp service", "nickelrampctl"};
+    Command c;
+    cli.set_version_flag("--version", NICKELRAMP_VERSION);
+    cli.require_subcommand(1);
+    cli.fallthrough();
+    cli.add_option("--config", c.config, "TOML file that names the controllers");
+    cli.add_option("--controller", c.controllers, "a controller, HOST:PORT, instead of the file's");
+    cli.add_option("--give-up", c.give_up_s, "seconds to try for, in all")
+        ->check(CLI::Range(1.0, 3600.0));
+    cli.add_flag("--json", c.json, "print answers as JSON");
+    auto watched = [&](CLI::App* sub, const char* what) {
+        sub->add_option("--watch", c.watch_s, what)->check(CLI::Range(kLeastEveryS, 3600.0));
+        return sub;
+    };
+    const char* until = "ask again every so many seconds until the job is over";
+    const char* always = "ask again every so many seconds";
+    CLI::App* submit = cli.add_subcommand("submit", "submit a job, as JSON");
+    submit->add_option("file", c.file, "the job; - is standard input")->required();
+    CLI::App* show = watched(cli.add_subcommand("show", "what has become of a job"), until);
+    show->add_option("id", c.id, "its id")->required();
+    CLI::App* abort = cli.add_subcommand("abort", "cancel a job");
+    abort->add_option("id", c.id, "its id")->required();
+    CLI::App* status =
+        watched(cli.add_subcommand("status", "who leads, machines, and what waits"), always);
+    CLI::App* late =
+        watched(cli.add_subcommand("late", "jobs past an objective, or about to be"), always);
+    CLI::App* settings = cli.add_subcommand("settings", "the operators' settings");
+    settings->add_option("name", c.setting, "one to be changed");
+    settings->add_option("value", c.value, "its new value")->needs("name");
+    CLI::App* plan = cli.add_subcommand("plan", "drain plans: what emptying machines would mean");
+    plan->require_subcommand(1);
+    plan->fallthrough();
+    CLI::App* make = plan->add_subcommand("make", "make one; nothing is moved");
+    make->add_option("id", c.id, "its name, of your choice")->required();
+    make->add_option("--machine", c.machines, "a machine to be emptied");
+    make->add_option("--zone", c.zone, "all machines of the zone");
+    make->add_option("--type", c.type, "all machines of the type");
+    make->add_flag("--all", c.all, "all machines");
+    make->add_option("--at-once", c.at_once, "so many in one wave");
+    make->add_flag("--moves", c.moves, "print task by task");
+    CLI::App* shown = plan->add_subcommand("show", "one that was made");
+    shown->add_option("id", c.id, "its name")->required();
+    shown->add_flag("--moves", c.moves, "print task by task");
+    CLI::App* plans = plan->add_subcommand("list", "those that the leader remembers");
+    Config config;
+    std::optional<Json> job;
+    Json request;
+    Json value;
+    try {
+        std::vector<std::string> reversed(arguments.rbegin(), arguments.rend());
+        cli.parse(reversed);
+        if (c.controllers.empty()) {
+            config = read_config(c.config);
+        } else {
+            Json list = c.controllers;
+            config = parse_config("controllers = " + list.dump(), "--controller");
+        }
+        if (c.give_up_s > 0) config.give_up_s = c.give_up_s;
+        if (submit->parsed()) {
+            job = read_job(c.file, in, err);
+            if (!job) return kMisuse;
+        }
+        if ((show->parsed() || abort->parsed()) && !wire::valid_job_id(c.id)) {
+            throw std::runtime_error("'" + c.id + "' is no job's id");
+        }
+        if (make->parsed()) {
+            request = {{"id", c.id}};
+            if (!c.machines.empty()) request["machines"] = c.machines;
+            if (!c.zone.empty()) request["zone"] = c.zone;
+            if (!c.type.empty()) request["type"] = c.type;
+            if (c.all) request["all"] = true;
+            if (make->count("--at-once") > 0) request["at_once"] = c.at_once;
+            std::string field;
+            if (!drain::parse_request(request, field)) {
+                throw std::runtime_error("plan make: missing or invalid: " + field);
+            }
+        }
+        if (settings->parsed() && !c.setting.empty()) {
+            if (c.value.empty()) throw std::runtime_error("settings: a name needs a value");
+            value = Json::parse(c.value, nullptr, false);
+            if (value.is_discarded()) throw std::runtime_error("'" + c.value + "' is no value");
+        }
+    } catch (const CLI::ParseError& e) {
+        return cli.exit(e, out, err) == 0 ? kFine : kMisuse;
+    } catch (const std::exception& e) {
+        err << e.what() << "\n";
+        return kMisuse;
+    }
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    int code = kFine;
+    {
+        Program program(&loop, config, c, out, err);
+        if (submit->parsed()) program.submit(*job);
+        if (show->parsed()) program.show();
+        if (abort->parsed()) program.abort();
+        if (status->parsed()) program.status(status_text);
+        if (late->parsed()) program.status(late_text);
+        if (settings->parsed()) c.setting.empty() ? program.settings() : program.set(value);
+        if (make->parsed()) program.make_plan(request);
+        if (shown->parsed()) program.show_plan();
+        if (plans->parsed()) program.list_plans();
+        while (program.busy()) uv_run(&loop, UV_RUN_ONCE);
+        code = program.code();
+    }
+    close_loop(&loop);
+    uv_loop_close(&loop);
+    return code;
+}
+
+}  // namespace nickelramp::ctl
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -27,6 +27,7 @@
       lender_(term_, book_, *this, grants_, intake_, outlook_, rules_),
       supply_(term_, book_, *this, outlook_, rules_, market_, silence_),
       moves_(term_, book_, rules_),
+      planner_(term_, book_, outlook_, rules_, silence_),
       courier_(term_, book_, *this, silence_, *this),
       began_(now),
       inherited_token_(blocks::term_token(term_.info().number) - 1) {}
@@ -143,6 +144,7 @@
         lender_.share_machines(now);
         lender_.check_leases(now);
         grants_.commit(now);
+        planner_.advance(now);
     }
     intake_.drop_leftovers(now);
     intake_.tend_jobs(now);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -15,6 +15,7 @@
 #include "deputy/deputy.h"
 #include "dispatch/courier.h"
 #include "domains/silence.h"
+#include "drain/planner.h"
 #include "fleet/market.h"
 #include "intake/intake.h"
 #include "outlook/outlook.h"
@@ -119,6 +120,8 @@
     // The jobs that wait, with the reason, and those past or about to pass an objective.
     wire::Json overview(Millis now) const;
 
+    drain::Planner& planner() { return planner_; }
+
     // For tests and administration.
     const workers::Roster& roster() const { return book_.roster(); }
     const book::Book::Jobs& open_jobs() const { return book_.jobs(); }
@@ -183,6 +186,7 @@
     sharing::Lender lender_;
     supply::Supply supply_;
     supply::Moves moves_;
+    drain::Planner planner_;
     Courier courier_;
 
     admin::Metrics* metrics_ = nullptr;
--- /dev/null
+++ b/src/drain/desk.cpp
@@ -0,0 +1,59 @@
+#include "drain/desk.h"
+
+#include <spdlog/spdlog.h>
+
+namespace nickelramp::drain {
+
+using net::Response;
+using wire::Json;
+
+namespace {
+constexpr int kLeaderSoonS = 1;
+constexpr int kPlansSoonS = 5;
+
+Response json(int status, const Json& body, int retry_after_s = 0) {
+    return {status, body.dump(2, ' ', false, Json::error_handler_t::replace) + "\n", retry_after_s,
+            "application/json"};
+}
+
+Response post(const net::Request& q, Planner& planner, Millis now) {
+    std::string field;
+    auto request = parse_request(Json::parse(q.body, nullptr, false), field);
+    if (!request) return json(400, {{"error", "missing or invalid"}, {"field", field}});
+    switch (planner.ask(*request, now)) {
+        case Planner::Taken::fresh:
+            spdlog::info("drain plan {} is asked for", request->id);
+            return json(201, plan_json(*planner.find(request->id), false));
+        case Planner::Taken::known:
+            return json(200, plan_json(*planner.find(request->id), false));
+        case Planner::Taken::different:
+            return json(409, {{"error", "the id stands for another plan"}, {"field", "id"}});
+        case Planner::Taken::full:
+            break;
+    }
+    return json(503, {{"error", "too many plans are being made"}}, kPlansSoonS);
+}
+}  // namespace
+
+Response answer(const net::Request& q, Planner* planner, Millis now) {
+    const std::string base = kPath;
+    const bool one = q.path.rfind(base + "/", 0) == 0;
+    if (!one && q.path != base) return json(404, {{"error", "no such path"}});
+    if (q.method != "GET" && (one || q.method != "POST")) {
+        return json(405, {{"error", one ? "use GET" : "use GET or POST"}});
+    }
+    if (planner == nullptr) {
+        return json(503, {{"error", "this controller does not lead"}}, kLeaderSoonS);
+    }
+    if (q.method == "POST") return post(q, *planner, now);
+    if (one) {
+        const Plan* plan = planner->find(q.path.substr(base.size() + 1));
+        if (plan == nullptr) return json(404, {{"error", "no such plan"}});
+        return json(200, plan_json(*plan, true));
+    }
+    Json list = Json::array();
+    for (const Plan* p : planner->all()) list.push_back(plan_json(*p, false));
+    return json(200, {{"plans", list}});
+}
+
+}  // namespace nickelramp::drain
--- /dev/null
+++ b/src/drain/plan.h
@@ -0,0 +1,83 @@
+// A drain plan: which tasks leave the machines that are to be emptied, where each would go, when
+// each machine would be empty, and what speaks against it.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/names.h"
+#include "base/time.h"
+#include "wire/cbor.h"
+
+namespace nickelramp::drain {
+
+// Machines by name, or all of a zone, of a type, of both, or all there are.
+struct Request {
+    std::string id;  // the caller chooses it
+    std::vector<std::string> machines;
+    std::string zone, type;
+    bool all = false;
+    std::uint32_t at_once = 0;  // 0: all in one wave
+    bool operator==(const Request&) const = default;
+};
+// The field at fault is named in `error`.
+std::optional<Request> parse_request(const wire::Json& body, std::string& error);
+
+// moves:    a replica stops and starts elsewhere
+// saves:    stops, saves and goes on elsewhere; of a gang, all members do
+// runs_out: stays to its end, since what it has done could not be saved
+enum class How { moves, saves, runs_out };
+const char* name(How h);
+
+// Seconds from the plan's beginning.
+struct Move {
+    std::string job;
+    std::uint32_t task = 0;
+    How how = How::moves;
+    std::string to;  // a machine; a type and zone if one must be hired; empty: it stays, or nowhere
+    bool hired = false;
+    double leaves_s = 0, back_s = 0;
+    std::optional<double> ends_s;  // replicas do not
+    std::size_t seen = 0;          // completed tasks of its class that the run time is taken from
+};
+
+struct Step {
+    std::string machine, type, zone;
+    std::uint32_t wave = 0;
+    double from_s = 0, empty_s = 0;
+    std::vector<Move> moves;
+};
+
+struct Refusal {
+    std::string job;
+    std::uint32_t task = 0;
+    std::string machine, why, instead;
+    std::optional<double> due_s, ends_s;
+};
+
+struct Hire {
+    std::string type, zone;
+    std::uint32_t count = 0;
+    double price = 0;  // an hour, each
+};
+
+// planning: some machines are still to be looked at; ready; refused: something speaks against it
+enum class PlanState { planning, ready, refused };
+const char* name(PlanState s);
+
+struct Plan {
+    Request request;
+    PlanState state = PlanState::planning;
+    Millis asked_at = 0;
+    std::vector<Step> steps;
+    std::vector<std::string> passed_over;  // and why
+    std::vector<Refusal> refusals;
+    std::vector<Hire> hires;
+    double empty_s = 0;
+    double cost = 0;  // of what is hired while what it takes the place of is still there
+};
+
+wire::Json plan_json(const Plan& plan, bool whole);
+
+}  // namespace nickelramp::drain
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,14 +1,17 @@
 #include "net/http_client.h"
 
 #include <http_parser.h>
+#include <strings.h>
 
 #include <algorithm>
+#include <charconv>
 
 #include "net/stream.h"
 
 namespace nickelramp::net {
 
 namespace {
+constexpr std::size_t kMaxHeader = 256;  // longer ones are none that are read
 constexpr std::size_t kMaxReply = 8 * 1024 * 1024;
 constexpr Millis kConnectTimeout = 1500;
 constexpr Millis kExpiryStep = 50;
@@ -83,7 +86,8 @@
         deadline_ = p.deadline;
         done_ = std::move(p.done);
         reply_ = Reply{};
-        complete_ = false;
+        complete_ = in_value_ = false;
+        header_.clear();
         http_parser_init(&parser_, HTTP_RESPONSE);
         parser_.data = this;
     }
@@ -113,6 +117,24 @@
         static const http_parser_settings s = [] {
             http_parser_settings s;
             http_parser_settings_init(&s);
+            s.on_header_field = [](http_parser* p, const char* at, std::size_t len) {
+                auto* c = static_cast<ClientConnection*>(p->data);
+                if (c->in_value_) c->header_.clear();
+                c->in_value_ = false;
+                if (c->header_.size() + len <= kMaxHeader) c->header_.append(at, len);
+                return 0;
+            };
+            s.on_header_value = [](http_parser* p, const char* at, std::size_t len) {
+                auto* c = static_cast<ClientConnection*>(p->data);
+                if (!c->in_value_) c->value_.clear();
+                c->in_value_ = true;
+                if (c->value_.size() + len <= kMaxHeader) c->value_.append(at, len);
+                if (strcasecmp(c->header_.c_str(), "Retry-After") == 0) {
+                    std::from_chars(c->value_.data(), c->value_.data() + c->value_.size(),
+                                    c->reply_.retry_after_s);
+                }
+                return 0;
+            };
             s.on_body = [](http_parser* p, const char* at, std::size_t len) {
                 auto* c = static_cast<ClientConnection*>(p->data);
                 c->reply_.body.append(at, len);
@@ -151,7 +173,7 @@
         close();
         client_->drop(this);
         auto* client = client_;
-        done(Reply{outcome, 0, ""});
+        done(Reply{outcome, 0, "", 0});
         client->pump();
     }
 
@@ -164,6 +186,8 @@
     bool fail_soon_ = false;
     HttpClient::Done done_;
     Reply reply_;
+    std::string header_, value_;  // the one that is being read
+    bool in_value_ = false;
     bool complete_ = false;
     bool keep_alive_ = true;
     http_parser parser_;
@@ -242,7 +266,7 @@
     }
     auto open = connections_;
     for (auto& c : open) c->check(now);
-    for (auto& done : refused) done(Reply{Reply::Outcome::refused, 0, ""});
+    for (auto& done : refused) done(Reply{Reply::Outcome::refused, 0, "", 0});
     pump();
     if (idle()) uv_timer_stop(timer_);
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -19,6 +19,7 @@
     Outcome outcome = Outcome::unknown;
     int status = 0;
     std::string body;
+    int retry_after_s = 0;  // what Retry-After says; 0: nothing
 
     bool ok() const { return outcome == Outcome::answered && status == 200; }
 };
--- a/src/outlook/outlook.h
+++ b/src/outlook/outlook.h
@@ -59,6 +59,10 @@
 
     // --- asked
     double expected_run_s(const jobs::Job& j) const;
+    // From how many completed tasks; 0: it is the owner's guess. Older ones count less.
+    std::size_t seen(const jobs::Job& j) const {
+        return static_cast<std::size_t>(learned_[j.job_class].weight);
+    }
     const Standing& standing() const { return standing_; }
     // Places to keep free for replicas.
     double standing_wanted(Millis now);
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -141,7 +141,7 @@
         if (waiting) break;
     }
     if (waiting) timer_.after(10);
-    for (auto& done : shed) done(net::Reply{net::Reply::Outcome::refused, 0, ""});
+    for (auto& done : shed) done(net::Reply{net::Reply::Outcome::refused, 0, "", 0});
 }
 
 void Client::note(const net::Reply& r) {
--- /dev/null
+++ b/tests/ctl_test.cpp
@@ -0,0 +1,211 @@
+// nickelrampctl against a real users' desk on loopback: what it asks whom, when it asks again, what
+// it prints and how it ends.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <sstream>
+#include <thread>
+
+#include "ctl/config.h"
+#include "ctl/program.h"
+#include "ctl/show.h"
+#include "ctl/tries.h"
+#include "net/address.h"
+#include "net/http_server.h"
+#include "tests/standin.h"
+#include "tests/world.h"
+
+namespace {
+
+using namespace nickelramp;
+using ctl::Tries;
+using net::Reply;
+using wire::Json;
+
+// What PROTOCOL tells users: again after a second or what Retry-After says, up to 30 s; never again
+// after an answer; nobody there is no reason to wait while others may be.
+TEST(Ctl, AsksAgainAsUsersAreTold) {
+    EXPECT_TRUE(rc::check([] {
+        const auto n = *rc::gen::inRange<std::size_t>(1, 5);
+        const Millis until = *rc::gen::inRange<Millis>(1'000, 120'000);
+        Tries t(n, *rc::gen::inRange<std::size_t>(0, 100), until);
+        Millis now = 0;
+        std::size_t made = 0, refused = 0;
+        for (;;) {
+            Reply r;
+            r.outcome = *rc::gen::element(Reply::Outcome::answered, Reply::Outcome::refused,
+                                          Reply::Outcome::unknown);
+            r.status = *rc::gen::element(200, 201, 400, 404, 409, 422, 429, 500, 503, 504);
+            r.retry_after_s = *rc::gen::element(0, 1, 7, 1000);
+            const std::size_t asked = t.controller();
+            RC_ASSERT(asked < n);
+            const Tries::Next next = t.after(r, now);
+            RC_ASSERT(t.made() == ++made);
+            const bool there = r.outcome != Reply::Outcome::refused;
+            const bool answer =
+                r.outcome == Reply::Outcome::answered && r.status < 500 && r.status != 429;
+            RC_ASSERT((next == Tries::Next::answer) == answer);
+            if (answer) return;
+            RC_ASSERT((next == Tries::Next::give_up) == (t.at() >= until));
+            refused = there ? 0 : refused + 1;
+            const Millis pause = t.at() - now;
+            if (refused > 0 && refused % n != 0)
+                RC_ASSERT(pause == 0);
+            else
+                RC_ASSERT(pause >= 1'000 && pause <= 30'000 &&
+                          (r.retry_after_s > 30 || pause >= r.retry_after_s * 1'000));
+            if (next == Tries::Next::give_up) return;
+            RC_ASSERT(n == 1 || t.controller() != asked);
+            now = t.at() + (there ? 10 : 0);
+        }
+    }));
+}
+
+TEST(Ctl, ItsFileIsCheckedLineByLine) {
+    const ctl::Config c =
+        ctl::parse_config("give_up_s = 5\ncontrollers = [\"10.0.0.1:80\", \"10.0.0.2:80\"]", "f");
+    EXPECT_EQ(c.controllers.size(), 2u);
+    EXPECT_EQ(c.give_up_s, 5);
+    const std::pair<const char*, const char*> wrong[] = {
+        {"controllers = [", "f:1: "},
+        {"", "f: controllers is missing or empty"},
+        {"controllers = []", "f: controllers is missing or empty"},
+        {"\ncontrollers = [\"here\"]", "f:2: controllers must be like"},
+        {"controllers = \"10.0.0.1:80\"", "f:1: controllers must be a list"},
+        {"controllers = [\"10.0.0.1:80\"]\ngive_up_s = 0", "f:2: give_up_s must be"},
+        {"contrlers = []", "f:1: unknown field 'contrlers'"},
+    };
+    for (const auto& [text, says] : wrong) {
+        try {
+            ctl::parse_config(text, "f");
+            ADD_FAILURE() << text << " was taken";
+        } catch (const std::runtime_error& e) {
+            EXPECT_EQ(std::string(e.what()).rfind(says, 0), 0u) << e.what();
+        }
+    }
+}
+
+TEST(Ctl, TablesLineUp) {
+    EXPECT_EQ(ctl::table({"id", "n"}, {{"job-1", "7"}, {"x", "1000"}}),
+              "id        n\njob-1     7\nx      1000\n");
+}
+
+// A desk that says what a test wants, and remembers what it was asked.
+struct CtlOnLoopback : testing::Test {
+    uv_loop_t loop;
+    std::vector<std::string> asked;
+    std::vector<net::Response> answers;  // in order; the last again and again
+    std::unique_ptr<net::HttpServer> server;
+    std::string said, complained;
+    CtlOnLoopback() {
+        uv_loop_init(&loop);
+        server = std::make_unique<net::HttpServer>(
+            &loop, 8, [this](const net::Request& q, net::Responder r) {
+                asked.push_back(q.method + " " + q.path);
+                const std::size_t n = std::min(asked.size(), answers.size());
+                r.send(answers[n - 1]);
+            });
+        EXPECT_EQ(server->listen(*net::parse_address("127.0.0.1:39310")), 0);
+    }
+    ~CtlOnLoopback() override {
+        server.reset();
+        uv_run(&loop, UV_RUN_NOWAIT);
+        uv_run(&loop, UV_RUN_NOWAIT);
+        uv_loop_close(&loop);
+    }
+    int ctl(std::vector<std::string> arguments, const std::string& in = "") {
+        std::stringstream from(in), out, err;
+        std::atomic<bool> over = false;
+        int code = -1;
+        std::thread t([&] {
+            code = ctl::run(arguments, from, out, err);
+            over = true;
+        });
+        EXPECT_TRUE(test::run_until(&loop, [&] { return over.load(); }));
+        t.join();
+        said = out.str();
+        complained = err.str();
+        return code;
+    }
+    static net::Response cbor(int status, const Json& body, int retry_after = 0) {
+        return {status, wire::encode(body), retry_after, "application/cbor"};
+    }
+};
+const std::string kThere = "127.0.0.1:39310", kNowhere = "127.0.0.1:39311";
+
+TEST_F(CtlOnLoopback, SubmitsAgainUntilItIsTaken) {
+    answers = {cbor(503, {{"error", "try again"}}, 1),
+               cbor(201, wire::job_answer("job-5", wire::JobStatus::pending))};
+    const std::string job = test::job("job-5", "sweep", 2, 0).dump();
+    EXPECT_EQ(ctl({"--controller", kNowhere, "--controller", kThere, "submit", "-"}, job),
+              ctl::kFine);
+    EXPECT_EQ(said, "job-5 is pending\n");
+    EXPECT_EQ(asked, (std::vector<std::string>{"POST /work", "POST /work"}));
+}
+
+TEST_F(CtlOnLoopback, SaysNoAsTheServiceDoes) {
+    answers = {cbor(422, {{"error", "unknown team"}})};
+    const std::string job = test::job("job-5", "sweep", 2, 0).dump();
+    EXPECT_EQ(ctl({"--controller", kThere, "submit", "-"}, job), ctl::kRefused);
+    EXPECT_EQ(complained, "the service says 422: unknown team\n");
+    EXPECT_EQ(asked.size(), 1u);
+}
+
+TEST_F(CtlOnLoopback, WatchesAJobToItsEnd) {
+    answers = {cbor(200, wire::job_answer("job-5", wire::JobStatus::running, 1, 2)),
+               cbor(200, wire::job_answer("job-5", wire::JobStatus::done, 3, 0))};
+    EXPECT_EQ(ctl({"--controller", kThere, "show", "job-5", "--watch", "0.1"}), ctl::kFine);
+    EXPECT_EQ(
+        said,
+        "job-5 is running, 1 tasks done, 2 running\njob-5 is done, 3 tasks done, 0 running\n");
+}
+
+TEST_F(CtlOnLoopback, LooksForTheLeader) {
+    const Json follower = {{"node", "n2"}, {"leader", "n1"}, {"state_service", "answers"}};
+    Json leader = follower;
+    leader["book"] = {{"term", 4},
+                      {"confirmed", true},
+                      {"open_jobs", 1},
+                      {"machines", {{"ready", 3}}},
+                      {"waiting", Json::array()},
+                      {"late",
+                       {{{"id", "job-9"},
+                         {"class", "train"},
+                         {"objective", "finish"},
+                         {"within_s", 60.0},
+                         {"left_s", -2.5},
+                         {"why", "allowed machines are full"}}}}};
+    answers = {{200, follower.dump(), 0, "application/json"},
+               {200, leader.dump(), 0, "application/json"}};
+    EXPECT_EQ(ctl({"--controller", kThere, "--controller", kThere, "late"}), ctl::kFine);
+    EXPECT_EQ(said,
+              "id     class  objective  within_s  left_s  why\n"
+              "job-9  train  finish           60    -2.5  allowed machines are full\n");
+    EXPECT_EQ(asked.size(), 2u);
+}
+
+TEST_F(CtlOnLoopback, NobodyThereIsSaidSo) {
+    EXPECT_EQ(ctl({"--controller", kNowhere, "--give-up", "1", "show", "job-5"}), ctl::kNobody);
+    EXPECT_EQ(complained.rfind("no controller has answered (", 0), 0u) << complained;
+    EXPECT_EQ(complained.find("may have been done"), std::string::npos) << "nobody was reached";
+}
+
+TEST_F(CtlOnLoopback, MisuseEndsWithTwoAndAsksNobody) {
+    for (const std::vector<std::string>& words : std::vector<std::vector<std::string>>{
+             {},
+             {"dance"},
+             {"--controller", "here", "status"},
+             {"--controller", kThere, "show", "no id"},
+             {"--controller", kThere, "submit", "/nowhere/job.json"},
+             {"--controller", kThere, "submit", "-"},
+             {"--controller", kThere, "settings", "lent_machines"},
+             {"--controller", kThere, "settings", "lent_machines", "many"},
+             {"--config", "/nowhere.toml", "status"},
+             {"--controller", kThere, "--give-up", "0", "status"}}) {
+        EXPECT_EQ(ctl(words, "{\"id\": 5}"), ctl::kMisuse) << (words.empty() ? "" : words.back());
+        EXPECT_FALSE(complained.empty());
+    }
+    EXPECT_TRUE(asked.empty());
+}
+
+}  // namespace
--- /dev/null
+++ b/tests/drain_test.cpp
@@ -0,0 +1,291 @@
+// Drain plans: random fleets against what any plan must keep to, the hard cases one by one, and the
+// calls of the administration API.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <set>
+
+#include "drain/desk.h"
+#include "tests/parts.h"
+
+namespace {
+
+using namespace nickelramp;
+using drain::How;
+using drain::Planner;
+using drain::PlanState;
+using jobs::Attempt;
+using jobs::Job;
+using test::job;
+using test::Parts;
+using wire::Json;
+using workers::Machine;
+using workers::MachineState;
+
+struct Planned : Parts {
+    using Parts::Parts;
+    drain::Planner planner{term, book, outlook, rules, silence};
+
+    const drain::Plan& plan(const Json& request, Millis now) {
+        std::string error;
+        auto r = drain::parse_request(request, error);
+        EXPECT_TRUE(r) << error;
+        EXPECT_EQ(planner.ask(*r, now), Planner::Taken::fresh);
+        while (planner.find(r->id)->state == PlanState::planning) planner.advance(now);
+        return *planner.find(r->id);
+    }
+    // All of it runs.
+    void run(Job& j, Millis now) {
+        schedule.try_job(j, now);
+        for (const auto& a : j.attempts) {
+            if (a->state != jobs::AttemptState::recording) continue;
+            Machine& m = *book.machine_of(*a);
+            book.recorded(*a, now);
+            book.sent(*a, m, now);
+            book.see(*a,
+                     {j.spec.id, a->task, a->number, wire::TaskPhase::running,
+                      wire::ExitCause::none, false},
+                     m, now);
+        }
+    }
+};
+
+Json with(Json spec, const char* field, const Json& value) {
+    spec[field] = value;
+    return spec;
+}
+
+// Whatever the fleet: each task that leaves is named once, its place is another machine that it may
+// use and that has room for all that the plan sends there, scatter and one_zone hold, waves are as
+// small as asked, and the book is left as it was.
+TEST(Drain, EveryPlanKeepsToTheRulesOfPlacing) {
+    EXPECT_TRUE(rc::check([] {
+        Planned p;
+        const int machines = *rc::gen::inRange(2, 14);
+        for (int n = 0; n < machines; ++n) {
+            p.machine("m-" + std::to_string(n), *rc::gen::element("g4", "plain"),
+                      *rc::gen::element("a", "b"), *rc::gen::inRange(0, 4) == 0);
+        }
+        const int entered = *rc::gen::inRange(1, 8);
+        for (int n = 0; n < entered; ++n) {
+            Json spec =
+                job("job-" + std::to_string(n), *rc::gen::element("sweep", "ensemble", "standing"),
+                    *rc::gen::inRange(1u, 6u), *rc::gen::inRange(0, 3));
+            spec["crew"] = "unheard";
+            spec["standby"] = *rc::gen::arbitrary<bool>();
+            spec["scatter"] = *rc::gen::arbitrary<bool>();
+            spec["one_zone"] = !spec["scatter"].get<bool>() && *rc::gen::arbitrary<bool>();
+            spec["save_every_s"] = *rc::gen::element(0.0, 5.0);
+            if (*rc::gen::inRange(0, 4) == 0) spec["yard"] = "a";
+            if (*rc::gen::inRange(0, 4) == 0) spec["rigs"] = {"g4"};
+            p.run(p.enter(spec, 1000), 1000);
+        }
+        Json request = {{"id", "up-1"}};
+        const int way = *rc::gen::inRange(0, 3);
+        if (way == 0) request["zone"] = *rc::gen::element("a", "b");
+        if (way == 1) request["type"] = *rc::gen::element("g4", "plain");
+        if (way == 2) request["all"] = true;
+        const auto at_once = *rc::gen::inRange(1u, 5u);
+        request["at_once"] = at_once;
+        std::vector<double> before;
+        for (const Machine* m : p.book.machines()) before.push_back(m->cpus_free);
+        const drain::Plan& plan = p.plan(request, 5000);
+
+        std::set<std::string> leaving;
+        std::map<std::uint32_t, std::uint32_t> wave;
+        for (const auto& s : plan.steps) {
+            RC_ASSERT(leaving.insert(s.machine).second);
+            RC_ASSERT(++wave[s.wave] <= at_once);
+            RC_ASSERT(s.empty_s >= s.from_s && s.empty_s <= plan.empty_s);
+            const Machine* m = p.book.machine(s.machine);
+            if (way == 0) RC_ASSERT(s.zone == request["zone"].get<std::string>());
+            if (way == 1) RC_ASSERT(s.type == request["type"].get<std::string>());
+            RC_ASSERT(s.moves.size() == m->live);
+        }
+        std::map<std::string, placing::Need> sent;
+        std::map<std::string, std::vector<std::uint32_t>> zones;
+        for (const auto& [id, j] : p.book.jobs()) zones[id] = p.book.live_by_zone(*j);
+        std::set<std::pair<std::string, std::uint32_t>> named;
+        for (const auto& s : plan.steps) {
+            for (const auto& m : s.moves) {
+                RC_ASSERT(named.emplace(m.job, m.task).second);
+                const Job& j = *p.book.job(m.job);
+                RC_ASSERT((m.how == How::moves) == j.service());
+                if (m.how == How::runs_out || m.to.empty()) continue;
+                Index zone = kNone;
+                if (m.hired) {
+                    zone = p.book.zones().find(m.to.substr(m.to.size() - 1));
+                    RC_ASSERT(j.spec.spot || m.to.rfind("spot ", 0) != 0);
+                } else {
+                    RC_ASSERT(leaving.count(m.to) == 0);
+                    const Machine* to = p.book.machine(m.to);
+                    zone = to->zone;
+                    RC_ASSERT(p.rules.allowed(j, *to));
+                    placing::Need& n = sent[m.to];
+                    n = {n.cpus + j.spec.cpus, n.gpus + j.spec.gpus,
+                         n.memory_gb + j.spec.memory_gb};
+                    RC_ASSERT(placing::covers(to->cpus_free, to->gpus_free, to->memory_free, n));
+                }
+                RC_ASSERT(j.zone == kNone || zone == j.zone);
+                --zones[m.job][p.book.machine(s.machine)->zone];
+                ++zones[m.job][zone];
+            }
+        }
+        for (const auto& [id, in] : zones) {
+            const Job& j = *p.book.job(id);
+            const bool whole = plan.refusals.empty();
+            for (std::uint32_t n : in) {
+                if (j.spec.spread && j.spec.tasks > 1 && whole) {
+                    RC_ASSERT(n <= (j.spec.tasks + 1) / 2);
+                }
+                if (j.spec.one_zone && way == 2 && whole && j.spec.checkpoint_s > 0) {
+                    RC_ASSERT(n == 0 || n == j.live);
+                }
+            }
+        }
+        std::size_t i = 0;
+        for (const Machine* m : p.book.machines()) RC_ASSERT(m->cpus_free == before[i++]);
+        RC_ASSERT(p.post.commits.empty() && p.post.hires.empty() && p.post.returns.empty());
+    }));
+}
+
+// The timetable fit that is due at dawn: in time if it is left alone, late if it must wait for a
+// machine to boot. The plan says so, and what would do.
+TEST(Drain, AFitThatWouldPassDawnIsRefusedWithTheReason) {
+    Planned p;
+    p.machine("gpu3", "g4", "a");
+    Json spec = job("job-1", "ensemble", 1, 4);
+    spec["guess_s"] = 100.0;
+    spec["pull_gb"] = 0.0;
+    spec["due_s"] = 105.0;
+    p.run(p.enter(spec, 1000), 1000);
+    const drain::Plan& late = p.plan({{"id", "driver"}, {"machines", {"gpu3"}}}, 1000);
+    EXPECT_EQ(late.state, PlanState::refused);
+    ASSERT_EQ(late.refusals.size(), 1u);
+    EXPECT_EQ(late.refusals[0].job, "job-1");
+    EXPECT_EQ(late.refusals[0].machine, "gpu3");
+    EXPECT_DOUBLE_EQ(*late.refusals[0].due_s, 105);
+    EXPECT_DOUBLE_EQ(*late.refusals[0].ends_s, 110);  // a boot of 10 s, then all of it
+    EXPECT_EQ(late.refusals[0].instead, "more machines: g4 in a hired 6 s before");
+    // With a machine more it is in time.
+    p.machine("gpu4", "g4", "a");
+    const drain::Plan& fine = p.plan({{"id", "driver-2"}, {"machines", {"gpu3"}}}, 1000);
+    EXPECT_EQ(fine.state, PlanState::ready);
+    EXPECT_EQ(fine.steps[0].moves[0].to, "gpu4");
+    EXPECT_DOUBLE_EQ(fine.steps[0].empty_s, 4);  // it saves for 2 s, and 2 s to be gone
+}
+
+TEST(Drain, WhatCannotSaveRunsOut) {
+    Planned p;
+    p.machine("m-1", "plain", "a");
+    p.machine("m-2", "plain", "a");
+    Job& j = p.enter(with(job("job-1", "sweep", 1, 0), "save_every_s", 0.0), 1000);
+    p.run(j, 1000);
+    const Machine* m = p.book.machine_of(*j.attempts[0]);
+    const drain::Plan& plan = p.plan({{"id", "d"}, {"machines", {m->name}}}, 4000);
+    ASSERT_EQ(plan.steps.size(), 1u);
+    EXPECT_EQ(plan.steps[0].moves[0].how, How::runs_out);
+    EXPECT_DOUBLE_EQ(plan.steps[0].empty_s, 7);  // of ten
+    EXPECT_EQ(plan.state, PlanState::ready);
+}
+
+TEST(Drain, AReplicaThatWouldBeAwayTooLongIsToldOf) {
+    wire::Settings s = test::world_settings();
+    s.objectives = {{wire::Objective::Kind::wait, "standing", 8, 1, 0}};
+    Planned p(s);
+    p.machine("m-1", "g4", "a");
+    p.run(p.enter(job("job-1", "standing", 1, 4), 1000), 1000);
+    const drain::Plan& plan = p.plan({{"id", "d"}, {"zone", "a"}}, 2000);
+    EXPECT_EQ(plan.state, PlanState::refused);
+    EXPECT_EQ(plan.refusals[0].why,
+              "a replica would be away for 12 s, its class is promised a start within 8 s");
+    ASSERT_EQ(plan.hires.size(), 1u);
+    EXPECT_EQ(plan.hires[0].count, 1u);
+    EXPECT_GT(plan.cost, 0);
+}
+
+TEST(Drain, UnknownGoneAndLentMachinesArePassedOver) {
+    Planned p;
+    p.book.set_machine_state(p.machine("m-1", "plain", "a"), MachineState::lent);
+    p.book.give_back(p.machine("m-2", "plain", "a"), "is idle");
+    Machine& gone = p.machine("m-3", "plain", "a");
+    std::string error;
+    auto r = drain::parse_request({{"id", "d"}, {"machines", {"m-0", "m-1", "m-2", "m-3"}}}, error);
+    ASSERT_EQ(p.planner.ask(*r, 1000), Planner::Taken::fresh);
+    p.book.machine_gone(gone, 1100);  // between two turns
+    p.planner.advance(1200);
+    const drain::Plan& plan = *p.planner.find("d");
+    EXPECT_EQ(plan.state, PlanState::ready);
+    EXPECT_TRUE(plan.steps.empty());
+    EXPECT_EQ(plan.passed_over,
+              (std::vector<std::string>{
+                  "m-0: there is no such machine", "m-1: it is lent to another controller",
+                  "m-2: it goes back to the cloud already", "m-3: it has gone meanwhile"}));
+}
+
+// A turn looks at a bounded number of tasks, however large the fleet.
+TEST(Drain, ATurnIsBounded) {
+    Planned p;
+    for (int n = 0; n < 200; ++n) p.machine("m-" + std::to_string(n), "plain", "a");
+    for (int n = 0; n < 40; ++n) {
+        p.run(p.enter(job("job-" + std::to_string(n), "sweep", 20, 0), 1000), 1000);
+    }
+    std::string error;
+    p.planner.ask(*drain::parse_request({{"id", "d"}, {"zone", "a"}}, error), 2000);
+    std::size_t turns = 0;
+    while (p.planner.find("d")->state == PlanState::planning) {
+        const std::size_t looked = p.planner.advance(2000);
+        EXPECT_LE(looked, 105u);  // a hundred and the rest of one machine
+        ASSERT_LT(++turns, 100u);
+    }
+    EXPECT_GE(turns, 8u);
+    EXPECT_EQ(p.planner.advance(2000), 0u);
+}
+
+TEST(Drain, CallsAreAnsweredWithTheFieldAtFault) {
+    Planned p;
+    p.machine("m-1", "plain", "a");
+    auto ask = [&](const std::string& method, const std::string& path, const std::string& body,
+                   bool leads = true) {
+        return drain::answer({method, path, "", body}, leads ? &p.planner : nullptr, 1000);
+    };
+    const std::pair<const char*, const char*> wrong[] = {
+        {"no json", "the body"},
+        {"{}", "id"},
+        {R"({"id": "a b"})", "id"},
+        {R"({"id": "x"})", "one of machines, zone or type, and all"},
+        {R"({"id": "x", "zone": "a", "all": true, "at_once": 1})",
+         "one of machines, zone or type, and all"},
+        {R"({"id": "x", "machines": "m-1"})", "machines"},
+        {R"({"id": "x", "machines": [1]})", "machines"},
+        {R"({"id": "x", "zone": 5})", "zone"},
+        {R"({"id": "x", "all": true})", "at_once"},
+        {R"({"id": "x", "zone": "a", "at_once": 0})", "at_once"},
+        {R"({"id": "x", "zone": "a", "at_once": -1})", "at_once"}};
+    for (const auto& [body, field] : wrong) {
+        const net::Response r = ask("POST", "/admin/plans", body);
+        EXPECT_EQ(r.status, 400) << body;
+        EXPECT_EQ(Json::parse(r.body)["field"], field) << body;
+    }
+    const std::string good = R"({"id": "x", "zone": "a", "unheard": 1})";
+    EXPECT_EQ(ask("POST", "/admin/plans", good, false).status, 503);
+    EXPECT_EQ(ask("POST", "/admin/plans", good, false).retry_after_s, 1);
+    EXPECT_EQ(ask("POST", "/admin/plans", good).status, 201);
+    EXPECT_EQ(ask("POST", "/admin/plans", good).status, 200);
+    EXPECT_EQ(ask("POST", "/admin/plans", R"({"id": "x", "zone": "b"})").status, 409);
+    EXPECT_EQ(ask("GET", "/admin/plans/y", "").status, 404);
+    EXPECT_EQ(ask("GET", "/admin/planse", "").status, 404);
+    EXPECT_EQ(ask("PUT", "/admin/plans/x", "").status, 405);
+    p.planner.advance(1000);
+    EXPECT_EQ(Json::parse(ask("GET", "/admin/plans/x", "").body)["state"], "ready");
+    for (int n = 0; n < 40; ++n) {
+        const std::string body = R"({"id": "p)" + std::to_string(n) + R"(", "zone": "a"})";
+        const net::Response r = ask("POST", "/admin/plans", body);
+        EXPECT_EQ(r.status, n < 16 ? 201 : 503);
+        EXPECT_EQ(r.retry_after_s > 0, n >= 16);
+    }
+    EXPECT_EQ(Json::parse(ask("GET", "/admin/plans", "").body)["plans"].size(), 16u);
+}
+
+}  // namespace
