--- a/src/admin/desk.cpp
+++ b/src/admin/desk.cpp
@@ -2,9 +2,10 @@
 
 #include <spdlog/spdlog.h>
 
+#include "admin/answer.h"
+
 namespace nickelramp::admin {
 
-using net::Response;
 using wire::Json;
 
 namespace {
@@ -12,11 +13,6 @@
 constexpr Millis kRetry = 2'000;
 constexpr Millis kCall = 2'000;
 const std::string kSettings = "/admin/settings";
-
-Response json(int status, const Json& body) {
-    return {status, body.dump(2, ' ', false, Json::error_handler_t::replace) + "\n", 0,
-            "application/json"};
-}
 }  // namespace
 
 Desk::Desk(uv_loop_t* loop, state::Client& state, Metrics& metrics, Hooks hooks,
@@ -73,8 +69,6 @@
     } else if (path == "/admin/metrics" && get) {
         hooks_.gather();
         responder.send({200, metrics_.text(), 0, "text/plain; version=0.0.4"});
-    } else if (hooks_.plans && path.rfind("/admin/plans", 0) == 0) {
-        responder.send(hooks_.plans(request));
     } else if (path == kSettings && get) {
         responder.send(json(200, options_json(options_)));
     } else if (path.rfind(kSettings + "/", 0) == 0) {
--- a/src/admin/desk.h
+++ b/src/admin/desk.h
@@ -1,9 +1,11 @@
 // The administration API, on the users' address under /admin/:
 //
-//   GET /admin/status            who leads; on the leader also machines, blocks, waiting and late
-//   jobs GET /admin/metrics           Prometheus text GET /admin/settings          the operators'
-//   settings PUT /admin/settings/{name}   {"value": ...}; stored in the state service, in force
-//   everywhere /admin/plans                 drain plans, where they are enabled (drain/desk.h)
+// - GET /admin/status: who leads; on the leader also machines, blocks, waiting and late jobs
+// - GET /admin/metrics: Prometheus text
+// - GET /admin/settings: the operators' settings
+// - PUT /admin/settings/{name}, {"value": ...}: stored in the state service, in force everywhere
+//
+// Drain plans, where they are enabled, have a desk of their own (drain/desk.h).
 //
 // Bodies are JSON, for people and their tools.
 #pragma once
@@ -24,8 +26,6 @@
     struct Hooks {
         std::function<wire::Json()> status;
         std::function<void()> gather;  // brings the gauges up to date
-        // Drain plans; empty where they are not enabled.
-        std::function<net::Response(const net::Request&)> plans = {};
     };
     Desk(uv_loop_t* loop, state::Client& state, Metrics& metrics, Hooks hooks,
          std::function<void(const Options&)> changed);
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -43,6 +43,7 @@
 Node::Node(uv_loop_t* loop, const wire::Settings& settings, const Features& features)
     : loop_(loop),
       settings_(settings),
+      features_(features),
       server_(loop, settings.max_sockets * 7 / 10,
               [this](const net::Request& q, net::Responder r) { handle(q, std::move(r)); }),
       state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings, false)),
@@ -106,10 +107,7 @@
       holding_(settings, leadership::kTermKey, holder_box_, seed_of(settings.name) | 1),
       deputy_(settings),
       bury_timer_(loop, [this] { holding_.bury(); }),
-      admin_(loop, state_, metrics_,
-             {[this] { return status(); }, [this] { gather(); },
-              features.plans ? [this](const net::Request& q) { return plans(q); }
-                             : std::function<net::Response(const net::Request&)>()},
+      admin_(loop, state_, metrics_, {[this] { return status(); }, [this] { gather(); }},
              [this](const admin::Options& options) {
                  if (dispatcher_) dispatcher_->set_options(options);
              }) {}
@@ -172,6 +170,11 @@
         responder.send({ok ? 200 : 503, wire::encode({{"ready", ok}}), 0, "application/cbor"});
         return;
     }
+    if (features_.plans && drain::handles(request)) {
+        drain::Planner* planner = book_ == Book::running ? &dispatcher_->planner() : nullptr;
+        responder.send(drain::answer(request, planner));
+        return;
+    }
     if (desk_.handle(request, responder) || admin_.handle(request, responder)) return;
     responder.send({404, wire::encode({{"error", "no such path"}}), 0, "application/cbor"});
 }
@@ -502,11 +505,6 @@
     return out;
 }
 
-net::Response Node::plans(const net::Request& request) {
-    return drain::answer(request, book_ == Book::running ? &dispatcher_->planner() : nullptr,
-                         now());
-}
-
 void Node::gather() {
     if (book_ != Book::running) return;
     auto s = dispatcher_->summary();
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -66,7 +66,6 @@
     bool peers_served() const;
     wire::Json status() const;
     void gather();
-    net::Response plans(const net::Request& request);
     bool state_served() const;
     void send_grants();
     void send_leaves();
@@ -102,6 +101,7 @@
 
     uv_loop_t* loop_;
     const wire::Settings& settings_;
+    const Features features_;
     admin::Metrics metrics_;
     net::HttpServer server_;
     state::Client state_;
--- a/src/book/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -274,27 +274,25 @@
     if (Machine* m = machine_of(a)) turn_.has_commands(*m);
 }
 
-void Book::stop_all(Job& j, Millis now) {
+void Book::stop_all(Job& j, Millis now) { stop_each(j, 0, now); }
+
+void Book::stop_each(Job& j, double grace_s, Millis now) {
     // A member that was never sent is gone at once. That must not end the others from within, while
     // this goes through them: it once went on with members that were erased.
     if (j.gang() && j.state == JobState::open && j.live > 0) j.gang_broken = true;
     // Taking back what was never sent changes the list.
     std::vector<Attempt*> list;
     for (const auto& a : j.attempts) list.push_back(a.get());
-    for (Attempt* a : list) want_gone(*a, 0, now);
+    for (Attempt* a : list) want_gone(*a, grace_s, now);
 }
 
 void Book::stop_saving(Attempt& a, Millis now) {
     Job& j = job_of(a);
-    double grace = j.spec.checkpoint_s > 0 ? j.spec.save_s + 1.0 : 0;
-    if (!j.gang()) {
-        want_gone(a, grace, now);
-        return;
-    }
-    std::vector<Attempt*> list;
-    for (const auto& member : j.attempts) list.push_back(member.get());
-    j.gang_broken = true;
-    for (Attempt* member : list) want_gone(*member, grace, now);
+    const double grace_s = j.spec.checkpoint_s > 0 ? j.spec.save_s + 1.0 : 0;
+    if (j.gang())
+        stop_each(j, grace_s, now);
+    else
+        want_gone(a, grace_s, now);
 }
 
 void Book::drain_attempt(Attempt& a, Millis now) {
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -46,7 +46,7 @@
 std::vector<std::uint32_t> Book::live_by_zone(const Job& j) const {
     std::vector<std::uint32_t> out(zone_names_.size());
     for (const auto& a : j.attempts) {
-        const Machine* m = a->machine == kNone ? nullptr : roster_.at(a->machine);
+        const Machine* m = machine_of(*a);
         if (a->live() && m != nullptr && m->zone != kNone) ++out[m->zone];
     }
     return out;
--- a/src/book/book.h
+++ b/src/book/book.h
@@ -54,11 +54,13 @@
 
     const workers::Roster& roster() const { return roster_; }
     const std::vector<Machine*>& machines() const { return roster_.all(); }
-    Machine* machine(const std::string& name) { return roster_.find(name); }
-    Machine* machine_at(Index i) { return roster_.at(i); }
-    Machine* machine_of(const Attempt& a) {
+    Machine* machine(const std::string& name) const { return roster_.find(name); }
+    Machine* machine_at(Index i) const { return roster_.at(i); }
+    Machine* machine_of(const Attempt& a) const {
         return a.machine == kNone ? nullptr : roster_.at(a.machine);
     }
+    // Leases that earlier terms may have given are over by then.
+    Millis inherited_lease_until() const { return inherited_lease_until_; }
     bool buried(const std::string& name) const { return roster_.buried(name); }
     std::string kind_of(const Machine& m) const;  // for the log
     const placing::Openings& openings() const { return openings_; }
@@ -146,6 +148,7 @@
     void over(Job& j, Attempt& a, Millis now);
     void requeue(Job& j, const Attempt& a);
     void erase(Attempt& a);
+    void stop_each(Job& j, double grace_s, Millis now);
     void break_gang(Job& j, Millis now);
     void note_error(Job& j, Machine& m, Millis now);
     void add_team(const wire::Team& rule);
@@ -155,7 +158,7 @@
     Listener& listener_;
     Turn& turn_;
     bool changed_ = true;
-    Millis inherited_lease_until_;  // leases that earlier terms may have given
+    Millis inherited_lease_until_;
 
     Names type_names_, zone_names_, image_names_, team_names_, class_names_;
     std::vector<wire::MachineType> types_;
--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -22,6 +22,7 @@
 
 constexpr double kLeastEveryS = 0.1;
 constexpr Millis kPlanPause = 300;
+constexpr const char* kSettings = "/admin/settings";
 
 struct Command {
     std::string config;
@@ -37,6 +38,8 @@
     std::uint32_t at_once = 0;
 };
 
+using Text = std::string (*)(const Json&);  // an answer, as people read it
+
 class Program {
   public:
     Program(uv_loop_t* loop, const Config& config, const Command& command, std::ostream& out,
@@ -47,79 +50,57 @@
           out_(out),
           err_(err) {}
 
-    void submit(const Json& job) {
-        body_ = wire::encode(job);
-        begin_ = [this] { ask("POST", "/work", body_, [this](const Answer& a) { on_job(a); }); };
-        begin();
-    }
-    void show() {
-        begin_ = [this] {
-            ask("GET", "/work/" + command_.id, "", [this](const Answer& a) { on_job(a); });
-        };
-        begin();
-    }
-    void abort() {
-        begin_ = [this] {
-            ask("POST", "/work/" + command_.id + "/abort", "",
-                [this](const Answer& a) { on_job(a); });
-        };
-        begin();
-    }
+    void submit(const Json& job) { keep_asking("POST", "/work", wire::encode(job), job_answer()); }
+    void show() { keep_asking("GET", "/work/" + command_.id, "", job_answer()); }
+    void abort() { keep_asking("POST", "/work/" + command_.id + "/abort", "", job_answer()); }
     // What only the leader knows is asked for until one answers that is it.
-    void status(std::string (*text)(const Json&)) {
-        begin_ = [this, text] {
-            left_ = asker_.controllers();
-            ask("GET", "/admin/status", "", [this, text](const Answer& a) { on_status(a, text); });
-        };
-        begin();
-    }
-    void settings() {
-        begin_ = [this] {
-            ask("GET", "/admin/settings", "",
-                [this](const Answer& a) { on_json(a, settings_text); });
-        };
-        begin();
+    void status(Text text) {
+        keep_asking("GET", "/admin/status", "",
+                    [this, text](const Answer& a) { on_status(a, text, asker_.controllers()); });
     }
+    void settings() { keep_asking("GET", kSettings, "", text_answer(settings_text)); }
     void set(const Json& value) {
-        body_ = Json{{"value", value}}.dump();
-        begin_ = [this] {
-            ask("PUT", "/admin/settings/" + command_.setting, body_,
-                [this](const Answer& a) { on_json(a, settings_text); });
-        };
-        begin();
+        keep_asking("PUT", std::string(kSettings) + "/" + command_.setting,
+                    Json{{"value", value}}.dump(), text_answer(settings_text));
     }
     // Asks for a plan, and then until it is made.
     void make_plan(const Json& request) {
-        body_ = request.dump();
-        begin_ = [this] {
-            ask("POST", "/admin/plans", body_, [this](const Answer& a) {
-                if (fine(a)) show_plan();
-            });
-        };
-        begin();
+        keep_asking("POST", drain::kPath, request.dump(), [this](const Answer& a) {
+            if (fine(a)) show_plan();
+        });
     }
     void show_plan() {
-        begin_ = [this] {
-            ask("GET", "/admin/plans/" + command_.id, "", [this](const Answer& a) { on_plan(a); });
-        };
-        begin();
-    }
-    void list_plans() {
-        begin_ = [this] {
-            ask("GET", "/admin/plans", "", [this](const Answer& a) { on_json(a, plans_text); });
-        };
-        begin();
+        keep_asking("GET", plan_path(), "", [this](const Answer& a) { on_plan(a); });
     }
+    void list_plans() { keep_asking("GET", drain::kPath, "", text_answer(plans_text)); }
     bool busy() const { return waits_ || !asker_.idle(); }
     int code() const { return code_; }
 
   private:
+    // Once now, and again whenever it is time to.
+    void keep_asking(std::string method, std::string target, std::string body, Asker::Done done) {
+        begin_ = [this, method, target, body, done] { asker_.ask(method, target, body, done); };
+        begin();
+    }
     void begin() {
         waits_ = false;
         begin_();
     }
-    void ask(std::string method, std::string target, std::string body, Asker::Done done) {
-        asker_.ask(std::move(method), std::move(target), std::move(body), std::move(done));
+    void again_after(Millis pause) {
+        waits_ = true;
+        again_.after(pause);
+    }
+    std::string plan_path() const { return std::string(drain::kPath) + "/" + command_.id; }
+    Asker::Done job_answer() {
+        return [this](const Answer& a) { on_job(a); };
+    }
+    Asker::Done text_answer(Text text) {
+        return [this, text](const Answer& a) {
+            const auto body = read(a);
+            if (!body) return;
+            print(*body, text(*body));
+            watch();
+        };
     }
     // False when there is nothing to be printed but the trouble.
     bool fine(const Answer& a) {
@@ -144,103 +125,82 @@
             out_ << text;
         out_.flush();
     }
-    void broken() {
+    // The map in it, whether for users (CBOR) or for people (JSON); nothing when there is trouble.
+    std::optional<Json> read(const Answer& a) {
+        if (!fine(a)) return std::nullopt;
+        if (auto map = wire::decode_map(a.body)) return map;
+        Json body = Json::parse(a.body, nullptr, false);
+        if (body.is_object()) return body;
         err_ << "the answer cannot be read\n";
         code_ = kNobody;
+        return std::nullopt;
     }
     void watch() {
-        if (command_.watch_s <= 0) return;
-        waits_ = true;
-        again_.after(seconds(command_.watch_s));
+        if (command_.watch_s > 0) again_after(seconds(command_.watch_s));
     }
     void on_job(const Answer& a) {
-        if (!fine(a)) return;
-        auto job = wire::decode_map(a.body);
-        if (!job) {
-            broken();
-            return;
-        }
+        const auto job = read(a);
+        if (!job) return;
         print(*job, job_text(*job));
         const auto status = wire::text(*job, "status");
         const bool over = status == wire::final_name(wire::JobStatus::done) ||
                           status == wire::final_name(wire::JobStatus::cancelled);
         if (!over) watch();
     }
-    void on_status(const Answer& a, std::string (*text)(const Json&)) {
-        if (!fine(a)) return;
-        Json status = Json::parse(a.body, nullptr, false);
-        if (!status.is_object()) {
-            broken();
-            return;
-        }
-        if (wire::field(status, "book") == nullptr && --left_ > 0) {
-            // Not the leader: the next one may be.
-            const std::size_t next = (a.controller + 1) % asker_.controllers();
-            asker_.ask(
-                "GET", "/admin/status", "",
-                [this, text, status](const Answer& other) {
-                    if (other.given && other.status < 400) {
-                        on_status(other, text);
-                    } else {
-                        print(status, text(status));
-                        watch();
-                    }
-                },
-                next);
+    void on_status(const Answer& a, Text text, std::size_t left) {
+        const auto status = read(a);
+        if (!status) return;
+        auto show = [this, text, status] {
+            print(*status, text(*status));
+            watch();
+        };
+        if (wire::field(*status, "book") != nullptr || left == 1) {
+            show();
             return;
         }
-        print(status, text(status));
-        watch();
+        // Not the leader: the next one may be.
+        asker_.ask(
+            "GET", "/admin/status", "",
+            [this, text, left, show](const Answer& other) {
+                if (other.given && other.status < 400)
+                    on_status(other, text, left - 1);
+                else
+                    show();
+            },
+            (a.controller + 1) % asker_.controllers());
     }
     void on_plan(const Answer& a) {
-        if (!fine(a)) return;
-        Json plan = Json::parse(a.body, nullptr, false);
-        if (!plan.is_object()) {
-            broken();
-            return;
-        }
-        const auto state = wire::text(plan, "state");
+        auto page = read(a);
+        if (!page) return;
+        const auto state = wire::text(*page, "state");
         if (state == "planning") {
-            waits_ = true;
-            again_.after(kPlanPause);
+            again_after(kPlanPause);
             return;
         }
+        const auto next = wire::count(*page, "next");
         // Large ones come in pages.
         if (plan_.is_null()) {
-            plan_ = plan;
+            plan_ = std::move(*page);
         } else {
-            for (Json& step : plan["steps"]) plan_["steps"].push_back(std::move(step));
+            for (Json& step : (*page)["steps"]) plan_["steps"].push_back(std::move(step));
         }
-        if (const auto next = wire::count(plan, "next")) {
-            ask("GET", "/admin/plans/" + command_.id + "?from=" + std::to_string(*next), "",
-                [this](const Answer& page) { on_plan(page); });
+        if (next) {
+            asker_.ask("GET", plan_path() + "?from=" + std::to_string(*next), "",
+                       [this](const Answer& more) { on_plan(more); });
             return;
         }
         plan_.erase("next");
         print(plan_, plan_text(plan_, command_.moves));
         if (state == "refused") code_ = kRefused;
     }
-    void on_json(const Answer& a, std::string (*text)(const Json&)) {
-        if (!fine(a)) return;
-        Json body = Json::parse(a.body, nullptr, false);
-        if (!body.is_object()) {
-            broken();
-            return;
-        }
-        print(body, text(body));
-        watch();
-    }
-
     Asker asker_;
     const Command& command_;
     net::Timer again_;
     std::ostream& out_;
     std::ostream& err_;
     std::function<void()> begin_;
-    std::string body_;
     Json plan_;           // what has come of it
     bool waits_ = false;  // for the time to ask again
-    std::size_t left_ = 0;
     int code_ = kFine;
 };
 
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -159,12 +159,10 @@
     Json said = Json::parse(body, nullptr, false);
     if (!said.is_object()) said = wire::decode_map(body).value_or(Json::object());
     std::string out = fmt::format("the service says {}", status);
-    for (const char* name : {"error", "field", "least", "most"}) {
-        if (wire::field(said, name) != nullptr) {
-            out +=
-                fmt::format("{} {}", name == std::string("error") ? ":" : std::string(", ") + name,
-                            cell(said, name));
-        }
+    if (wire::field(said, "error") != nullptr) out += ": " + cell(said, "error");
+    for (const char* name : {"field", "least", "most"}) {
+        if (wire::field(said, name) != nullptr)
+            out += fmt::format(", {} {}", name, cell(said, name));
     }
     return out + "\n";
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -166,6 +166,7 @@
     void watch_idle(Machine& m, Millis now);
 
     // dispatcher.cpp
+    Machine& take_over(const blocks::Member& b);
     void pass(Millis now);
 
     // overview.cpp
--- a/src/drain/desk.cpp
+++ b/src/drain/desk.cpp
@@ -4,8 +4,11 @@
 
 #include <charconv>
 
+#include "admin/answer.h"
+
 namespace nickelramp::drain {
 
+using admin::json;
 using net::Response;
 using wire::Json;
 
@@ -13,16 +16,11 @@
 constexpr int kLeaderSoonS = 1;
 constexpr int kPlansSoonS = 5;
 
-Response json(int status, const Json& body, int retry_after_s = 0) {
-    return {status, body.dump(2, ' ', false, Json::error_handler_t::replace) + "\n", retry_after_s,
-            "application/json"};
-}
-
-Response post(const net::Request& q, Planner& planner, Millis now) {
+Response post(const net::Request& q, Planner& planner) {
     std::string field;
     auto request = parse_request(Json::parse(q.body, nullptr, false), field);
     if (!request) return json(400, {{"error", "missing or invalid"}, {"field", field}});
-    switch (planner.ask(*request, now)) {
+    switch (planner.ask(*request)) {
         case Planner::Taken::fresh:
             spdlog::info("drain plan {} is asked for", request->id);
             return json(201, plan_json(*planner.find(request->id)));
@@ -37,17 +35,22 @@
 }
 }  // namespace
 
-Response answer(const net::Request& q, Planner* planner, Millis now) {
+bool handles(const net::Request& q) {
+    const std::string base = kPath;
+    return q.path == base || q.path.rfind(base + "/", 0) == 0;
+}
+
+Response answer(const net::Request& q, Planner* planner) {
+    if (!handles(q)) return json(404, {{"error", "no such path"}});
     const std::string base = kPath;
-    const bool one = q.path.rfind(base + "/", 0) == 0;
-    if (!one && q.path != base) return json(404, {{"error", "no such path"}});
+    const bool one = q.path != base;
     if (q.method != "GET" && (one || q.method != "POST")) {
         return json(405, {{"error", one ? "use GET" : "use GET or POST"}});
     }
     if (planner == nullptr) {
         return json(503, {{"error", "this controller does not lead"}}, kLeaderSoonS);
     }
-    if (q.method == "POST") return post(q, *planner, now);
+    if (q.method == "POST") return post(q, *planner);
     if (one) {
         const Plan* plan = planner->find(q.path.substr(base.size() + 1));
         if (plan == nullptr) return json(404, {{"error", "no such plan"}});
--- a/src/drain/plan.h
+++ b/src/drain/plan.h
@@ -12,6 +12,8 @@
 
 namespace nickelramp::drain {
 
+inline constexpr const char* kPath = "/admin/plans";
+
 // Machines by name, or all of a zone, of a type, of both, or all there are.
 struct Request {
     std::string id;  // the caller chooses it
@@ -70,7 +72,6 @@
 struct Plan {
     Request request;
     PlanState state = PlanState::planning;
-    Millis asked_at = 0;
     std::vector<Step> steps;
     std::vector<std::string> passed_over;  // and why
     std::vector<Refusal> refusals;
--- a/src/drain/planner.cpp
+++ b/src/drain/planner.cpp
@@ -17,13 +17,13 @@
 constexpr std::size_t kMostPlans = 16;
 constexpr std::size_t kTasksATurn = 100;
 constexpr std::size_t kMostRefusals = 200;
-constexpr double kStopS = 2;      // a task that is told to stop is gone within this, beyond saving
+constexpr double kStopS = schedule::kGoneWithin / 1000.0;
 constexpr double kOverrun = 0.1;  // of its run time a task may still need that is past its forecast
 
 double since(Millis then, Millis now) { return static_cast<double>(now - then) / 1000.0; }
 }  // namespace
 
-Planner::Taken Planner::ask(const Request& request, Millis now) {
+Planner::Taken Planner::ask(const Request& request) {
     if (const Plan* known = find(request.id)) {
         return known->request == request ? Taken::known : Taken::different;
     }
@@ -37,7 +37,6 @@
     drafts_.push_back(std::make_unique<Draft>());
     Draft& d = *drafts_.back();
     d.plan.request = request;
-    d.plan.asked_at = now;
     choose(d);
     return Taken::fresh;
 }
@@ -168,16 +167,13 @@
     if (!place.found) {
         if (m.zone != kNone) ++spread.by_zone[m.zone];
         move.back_s = move.leaves_s;
-        if (d.plan.refusals.size() < kMostRefusals) {
-            d.plan.refusals.push_back(
-                {move.job,
-                 move.task,
-                 m.name,
-                 "no other machine that it may use fits, and none can be hired",
-                 "fewer machines at once, or another zone or type",
-                 {},
-                 {}});
-        }
+        refuse(d, {move.job,
+                   move.task,
+                   m.name,
+                   "no other machine that it may use fits, and none can be hired",
+                   "fewer machines at once, or another zone or type",
+                   {},
+                   {}});
         return move;
     }
     take(d, j, place);
@@ -244,13 +240,8 @@
         if (b.kind.type >= j.allowed_type.size() || j.allowed_type[b.kind.type] == 0) continue;
         if ((b.kind.spot && !j.spec.spot) || !zone_ok(d, j, b.kind.zone)) continue;
         if (!placing::covers(b.free.cpus, b.free.gpus, b.free.memory_gb, need)) continue;
-        const wire::MachineType& type = book_.types()[b.kind.type];
-        const bool there = std::find(b.images.begin(), b.images.end(), j.image) != b.images.end();
-        const double fetch_s =
-            there || type.fetch_gb_per_s <= 0 ? 0 : j.spec.image_gb / type.fetch_gb_per_s;
-        const double boot_s = std::max(0.0, b.up_s - at_s);
-        if (best.found && at_s + boot_s + fetch_s >= best.ready_s) continue;
-        best = {true, nullptr, i, at_s + boot_s + fetch_s, boot_s};
+        const Place place = on_bin(d, j, i, at_s);
+        if (!best.found || place.ready_s < best.ready_s) best = place;
     }
     return best.found ? best : hire_for(d, j, at_s);
 }
@@ -280,9 +271,15 @@
     bin.wave = static_cast<std::uint32_t>(d.wave_from_s.size() - 1);
     bin.up_s = std::max(type.boot_s, d.wave_from_s.back());
     d.bins.push_back(std::move(bin));
-    const double boot_s = std::max(0.0, d.bins.back().up_s - at_s);
-    const double fetch_s = type.fetch_gb_per_s <= 0 ? 0 : j.spec.image_gb / type.fetch_gb_per_s;
-    return {true, nullptr, d.bins.size() - 1, at_s + boot_s + fetch_s, boot_s};
+    return on_bin(d, j, d.bins.size() - 1, at_s);
+}
+
+Planner::Place Planner::on_bin(const Draft& d, const Job& j, std::size_t bin, double at_s) const {
+    const Bin& b = d.bins[bin];
+    const bool there = std::find(b.images.begin(), b.images.end(), j.image) != b.images.end();
+    const double boot_s = std::max(0.0, b.up_s - at_s);
+    const double fetch_s = there ? 0 : placing::fetch_s(j, book_.types()[b.kind.type]);
+    return {true, nullptr, bin, at_s + boot_s + fetch_s, boot_s};
 }
 
 void Planner::take(Draft& d, const Job& j, const Place& p) {
@@ -302,15 +299,17 @@
         zone = b.kind.zone;
     }
     Spread& s = spread_of(d, j);
-    if (zone == kNone) return;
     ++s.by_zone[zone];
     if (j.spec.one_zone) s.stays_in = zone;
 }
 
+void Planner::refuse(Draft& d, Refusal r) {
+    if (d.plan.refusals.size() < kMostRefusals) d.plan.refusals.push_back(std::move(r));
+}
+
 // Would the plan break a promise that is kept without it?
 void Planner::check(Draft& d, const Move& move, const Place& place, const Job& j, const Machine& m,
                     double undisturbed_s, Millis now) {
-    if (d.plan.refusals.size() >= kMostRefusals) return;
     using Kind = wire::Objective::Kind;
     std::string instead;
     if (place.boot_s > 0)
@@ -319,9 +318,8 @@
         instead = "later, when its image is on more machines";
     else
         instead = fmt::format("later: its task ends by itself in about {:.0f} s", undisturbed_s);
-    auto refuse = [&](std::string why, std::optional<double> due_s) {
-        d.plan.refusals.push_back(
-            {move.job, move.task, m.name, std::move(why), instead, due_s, move.ends_s});
+    auto against = [&](std::string why, std::optional<double> due_s) {
+        refuse(d, {move.job, move.task, m.name, std::move(why), instead, due_s, move.ends_s});
     };
     if (j.service()) {
         double promised_s = 0;
@@ -332,7 +330,7 @@
         }
         const double away_s = move.back_s - move.leaves_s + kStopS;
         if (promised_s > 0 && away_s > promised_s) {
-            refuse(
+            against(
                 fmt::format("a replica would be away for {:.0f} s, its class is promised a start "
                             "within {:.0f} s",
                             away_s, promised_s),
@@ -343,14 +341,14 @@
     const double age_s = since(j.accepted_at, now);
     auto late = [&](double due_s) { return undisturbed_s <= due_s && *move.ends_s > due_s; };
     if (j.spec.deadline_s && late(*j.spec.deadline_s - age_s)) {
-        refuse("it would miss its deadline", *j.spec.deadline_s - age_s);
+        against("it would miss its deadline", *j.spec.deadline_s - age_s);
         return;
     }
     for (const wire::Objective& o : term_.settings().objectives) {
         if (o.kind != Kind::finished || o.job_class != j.spec.job_class) continue;
         if (!late(o.within_s - age_s)) continue;
-        refuse(fmt::format("its class is promised an end within {:.0f} s", o.within_s),
-               o.within_s - age_s);
+        against(fmt::format("its class is promised an end within {:.0f} s", o.within_s),
+                o.within_s - age_s);
         return;
     }
 }
--- a/src/drain/planner.h
+++ b/src/drain/planner.h
@@ -27,7 +27,7 @@
             const schedule::Rules& rules, const domains::Silence& silence)
         : term_(term), book_(book), outlook_(outlook), rules_(rules), silence_(silence) {}
 
-    Taken ask(const Request& request, Millis now);
+    Taken ask(const Request& request);
     // A part of the oldest unfinished plan; how many tasks it has looked at.
     std::size_t advance(Millis now);
     const Plan* find(const std::string& id) const;
@@ -75,8 +75,10 @@
     Spread& spread_of(Draft& d, const Job& j);
     bool zone_ok(Draft& d, const Job& j, Index zone);
     Place place_for(Draft& d, const Job& j, double at_s, Millis now);
+    Place on_bin(const Draft& d, const Job& j, std::size_t bin, double at_s) const;
     Place hire_for(Draft& d, const Job& j, double at_s);
     void take(Draft& d, const Job& j, const Place& p);
+    static void refuse(Draft& d, Refusal r);
     void check(Draft& d, const Move& move, const Place& place, const Job& j, const Machine& m,
                double undisturbed_s, Millis now);
     void finish(Draft& d);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -118,6 +118,7 @@
             http_parser_settings s;
             http_parser_settings_init(&s);
             s.on_header_field = [](http_parser* p, const char* at, std::size_t len) {
+                if (p->status_code < 400) return 0;  // only refusals say when to come back
                 auto* c = static_cast<ClientConnection*>(p->data);
                 if (c->in_value_) c->header_.clear();
                 c->in_value_ = false;
@@ -125,6 +126,7 @@
                 return 0;
             };
             s.on_header_value = [](http_parser* p, const char* at, std::size_t len) {
+                if (p->status_code < 400) return 0;
                 auto* c = static_cast<ClientConnection*>(p->data);
                 if (!c->in_value_) c->value_.clear();
                 c->in_value_ = true;
--- a/src/outlook/outlook.cpp
+++ b/src/outlook/outlook.cpp
@@ -94,9 +94,10 @@
         demand_of(j.best_type).spot.arrived(j.share * j.spec.tasks, j.accepted_at);
     }
     if (j.service() && j.best_type != kNone) note_replicas(j);
-    learned.whole = learned.whole || whole(j);
+    const bool takes_whole = whole(j);
+    learned.whole = learned.whole || takes_whole;
     // Those that may use spot machines are looked after there.
-    if (j.best_type != kNone && !j.spec.spot && whole(j)) {
+    if (j.best_type != kNone && !j.spec.spot && takes_whole) {
         Demand& demand = demand_of(j.best_type);
         demand.whole.arrived(j.spec.tasks, j.accepted_at);
         bool pressing = std::any_of(term_.settings().objectives.begin(),
--- a/src/outlook/outlook.h
+++ b/src/outlook/outlook.h
@@ -46,7 +46,7 @@
 
 class Outlook {
   public:
-    Outlook(book::Term& term, book::Book& book) : term_(term), book_(book) {}
+    Outlook(const book::Term& term, book::Book& book) : term_(term), book_(book) {}
 
     // --- told by the book
     void job_entered(jobs::Job& j);
@@ -88,7 +88,7 @@
     void note_replicas(const jobs::Job& j);
     bool whole(const jobs::Job& j) const;
 
-    book::Term& term_;
+    const book::Term& term_;
     book::Book& book_;
     std::vector<Learned> learned_;  // by class
     std::vector<Demand> demand_;    // by type
--- a/src/placing/placer.cpp
+++ b/src/placing/placer.cpp
@@ -35,8 +35,12 @@
     return (spot ? type.spot_price : type.price) / places;
 }
 
+double fetch_s(const jobs::Job& j, const wire::MachineType& type) {
+    return j.spec.image_gb / std::max(0.01, type.fetch_gb_per_s);
+}
+
 double fetch_wait_s(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type) {
-    double fetch = j.spec.image_gb / std::max(0.01, type.fetch_gb_per_s);
+    const double fetch = fetch_s(j, type);
     int fetching = 0;
     for (const workers::CachedImage& c : m.images) {
         if (c.image == j.image) return c.present ? 0 : fetch * 0.6;
--- a/src/placing/placer.h
+++ b/src/placing/placer.h
@@ -28,6 +28,9 @@
 // What one task's place costs an hour on a full machine of this kind; infinite if none fits.
 double rent(const wire::MachineType& type, bool spot, const Need& n);
 
+// How long a machine that does nothing else takes to fetch its image.
+double fetch_s(const jobs::Job& j, const wire::MachineType& type);
+
 // About how long a task waits there for its image.
 double fetch_wait_s(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type);
 
--- a/src/schedule/rules.h
+++ b/src/schedule/rules.h
@@ -8,6 +8,9 @@
 
 namespace nickelramp::schedule {
 
+// A task that is told to stop is gone within this, beyond the time to save.
+inline constexpr Millis kGoneWithin = 2'000;
+
 class Rules {
   public:
     Rules(const book::Term& term, book::Book& book, const outlook::Outlook& outlook)
--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -17,7 +17,6 @@
 constexpr Millis kReservation = 12'000;  // beyond the time to save
 constexpr double kVictimLate = 30;    // seconds of work that an array is worth more when it is late
 constexpr Millis kMakeRoomGap = 500;  // for one job
-constexpr Millis kRoomSoon = 2'000;   // a task that is told to stop is gone within this
 constexpr std::size_t kMostSearched = 300;  // machines, for work that may be stopped
 }  // namespace
 
@@ -25,7 +24,7 @@
     if (j.unstarted() == 0) return true;
     // Replicas stay for long: they take a dear place only when room on a cheap one can't be made
     // soon.
-    j.avoids_dear = j.service() && (j.starved_since == 0 || now - j.starved_since < kRoomSoon);
+    j.avoids_dear = j.service() && (j.starved_since == 0 || now - j.starved_since < kGoneWithin);
     if (j.gang() ? place_gang(j, now) : place_some(j, now)) return true;
     std::uint32_t want = j.gang() ? j.spec.tasks : std::min(j.unstarted(), rules_.room_in_limit(j));
     bool coming = want > 0 && rules_.within_limit(j, want) && make_room(j, want, now);
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -76,17 +76,18 @@
     bool unread = false;   // what was lent with it is not in the book yet
     bool poked = false;    // in the list of those that have something to be sent
 
-    // Counted on by the roster's sums.
+    // What the outlook has counted of it.
     bool blank = false;                // ordinary, and nothing is on it
     double room = 0;                   // free share of a spot machine
     double flexible = 0;               // share that arrays have or may have, when it is up
     bool counts_for_replicas = false;  // of a kind where room for them is kept
     double places = 0;                 // free for them
     bool spare = false;                // a whole-machine task could have it within seconds
-    Kept<bool> up;                     // reports, or should
-    Kept<bool> silent;                 // has missed reports
-    Kept<bool> shaded;                 // not heard since its zone went dark
-    Millis listed_at = 0;              // first seen in the cloud's list
+
+    Kept<bool> up;         // reports, or should
+    Kept<bool> silent;     // has missed reports
+    Kept<bool> shaded;     // not heard since its zone went dark
+    Millis listed_at = 0;  // first seen in the cloud's list
 
     bool confirmed() const { return token != 0 && seen_token == token; }
     bool usable() const { return state == MachineState::ready; }
