--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -79,7 +79,8 @@
                  [this](const std::string&) { end_term(); },
                  [](const std::string& leader) {
                      spdlog::info("leader: {}", leader.empty() ? "none" : leader);
-                 }}),
+                 },
+                 {}}),
       tick_timer_(loop, [this] { tick(); }),
       hosts_timer_(loop, [this] { poll_hosts(); }),
       types_timer_(loop, [this] { poll_types(); }),
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -14,7 +14,7 @@
 #include "duties/office.h"
 #include "fleet/cloud.h"
 #include "jobs/desk.h"
-#include "leadership/term.h"
+#include "leadership/runner.h"
 #include "net/http_server.h"
 #include "peers/mesh.h"
 #include "state/client.h"
@@ -129,7 +129,7 @@
     state::Client state_;
     fleet::Cloud cloud_;
     jobs::Desk desk_;
-    leadership::Election election_;
+    leadership::Runner election_;
     net::Timer tick_timer_, hosts_timer_, types_timer_, load_timer_, close_timer_, watch_timer_;
 
     std::vector<wire::MachineType> types_;
--- a/src/leadership/term.cpp
+++ b/src/leadership/term.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace nickelramp::leadership {
 
 namespace {
@@ -9,7 +11,6 @@
 constexpr Millis kRenewEvery = 900;
 constexpr Millis kWatchWait = 5000;
 constexpr Millis kRetry = 500;
-constexpr Millis kCall = 2000;
 }  // namespace
 
 const char* name(State s) {
@@ -30,20 +31,14 @@
     return "?";
 }
 
-Election::Election(uv_loop_t* loop, state::Client& state, std::string node, std::uint64_t seed,
-                   Hooks hooks)
-    : loop_(loop),
-      client_(state),
+Election::Election(Store& store, std::string node, std::uint64_t seed, Hooks hooks)
+    : store_(store),
       node_(std::move(node)),
       hooks_(std::move(hooks)),
       random_(static_cast<std::minstd_rand::result_type>(seed)),
-      validity_(kLife),
-      campaign_timer_(loop, [this] { campaign(); }),
-      renew_timer_(loop, [this] { renew(); }),
-      validity_timer_(loop, [this] { check_validity(); }),
-      watch_timer_(loop, [this] { read_seat(); }) {}
+      validity_(kLife) {}
 
-void Election::start() { read_seat(); }
+void Election::start(Millis now) { read_seat(now); }
 
 void Election::set_state(State s) {
     if (s == state_) return;
@@ -51,11 +46,30 @@
     state_ = s;
 }
 
+void Election::by(Millis& date, Millis at) {
+    date = at;
+    hooks_.wake(at);
+}
+
+void Election::tend(Millis now) {
+    auto due = [now](Millis& date) {
+        if (now < date) return false;
+        date = kNever;
+        return true;
+    };
+    if (due(validity_at_)) check_validity(now);
+    if (due(renew_at_)) renew(now);
+    if (due(campaign_at_)) campaign(now);
+    if (due(watch_at_)) read_seat(now);
+    const Millis next = std::min({campaign_at_, renew_at_, validity_at_, watch_at_});
+    if (next < kNever) hooks_.wake(next);
+}
+
 // Reads the seat, then watches it.
-void Election::read_seat() {
-    client_.list("lead/", state::Urgency::control, [this](state::ListReply r) {
+void Election::read_seat(Millis) {
+    store_.list("lead/", [this](Millis t, const state::ListReply& r) {
         if (r.outcome != state::Outcome::ok) {
-            watch_timer_.after(kRetry);
+            by(watch_at_, t + kRetry);
             return;
         }
         revision_ = r.revision;
@@ -66,30 +80,30 @@
             node = wire::text(i.value, "node").value_or("");
             version = i.version;
         }
-        seat_seen(node, version);
-        watch();
+        seat_seen(node, version, t);
+        watch(t);
     });
 }
 
-void Election::watch() {
-    client_.watch("lead/", revision_, kWatchWait, [this](state::ListReply r) {
+void Election::watch(Millis) {
+    store_.watch("lead/", revision_, kWatchWait, [this](Millis t, const state::ListReply& r) {
         if (r.outcome != state::Outcome::ok) {
-            watch_timer_.after(r.outcome == state::Outcome::expired ? 0 : kRetry);
+            by(watch_at_, t + (r.outcome == state::Outcome::expired ? 0 : kRetry));
             return;
         }
         revision_ = std::max(revision_, r.revision);
         for (const state::Item& i : r.items) {
             if (i.key != kSeatKey) continue;
             if (i.deleted)
-                seat_seen("", 0);
+                seat_seen("", 0, t);
             else
-                seat_seen(wire::text(i.value, "node").value_or(""), i.version);
+                seat_seen(wire::text(i.value, "node").value_or(""), i.version, t);
         }
-        watch();
+        watch(t);
     });
 }
 
-void Election::seat_seen(const std::string& node, std::uint64_t version) {
+void Election::seat_seen(const std::string& node, std::uint64_t version, Millis now) {
     bool changed = node != leader_;
     leader_ = node;
     seat_version_ = version;
@@ -97,27 +111,32 @@
     if (changed) hooks_.leader_changed(node);
     bool mine = state_ == State::leading || state_ == State::doubting;
     if (mine && node != node_) {
-        over(node.empty() ? "the hold ended" : node + " has taken the seat");
+        over(node.empty() ? "the hold ended" : node + " has taken the seat", now);
         return;
     }
     if (state_ == State::following && version == 0) {
         // A moment's difference spares most conflicts.
-        campaign_timer_.after(static_cast<Millis>(random_() % 120));
+        by(campaign_at_, now + static_cast<Millis>(random_() % 120));
     }
 }
 
-void Election::campaign() {
+void Election::campaign(Millis now) {
     if (state_ != State::following || !seat_known_ || seat_version_ != 0) return;
-    if (now() < rest_until_) {
-        campaign_timer_.after(rest_until_ - now());
+    if (now < rest_until_) {
+        by(campaign_at_, rest_until_);
         return;
     }
     set_state(State::reading);
     read_term();
 }
 
+void Election::give_up(Millis now) {
+    set_state(State::following);
+    by(campaign_at_, now + kRetry);
+}
+
 void Election::read_term() {
-    client_.get(kTermKey, state::Urgency::control, kCall, [this](const state::GetReply& r) {
+    store_.get(kTermKey, [this](Millis t, const state::GetReply& r) {
         if (state_ != State::reading) return;
         if (r.outcome == state::Outcome::missing) {
             term_ = 1;
@@ -126,22 +145,20 @@
             term_ = wire::count(r.item.value, "term").value_or(0) + 1;
             term_version_ = r.item.version;
         } else {
-            set_state(State::following);
-            campaign_timer_.after(kRetry);
+            give_up(t);
             return;
         }
         set_state(State::holding);
-        take_hold();
+        take_hold(t);
     });
 }
 
-void Election::take_hold() {
-    hold_sent_ = now();
-    client_.lease(kLife, [this](const state::LeaseReply& r) {
+void Election::take_hold(Millis now) {
+    hold_sent_ = now;
+    store_.lease(kLife, [this](Millis t, const state::LeaseReply& r) {
         if (state_ != State::holding) return;
         if (r.outcome != state::Outcome::ok) {
-            set_state(State::following);
-            campaign_timer_.after(kRetry);
+            give_up(t);
             return;
         }
         hold_ = r.lease;
@@ -155,14 +172,14 @@
     txn.conditions = {{kSeatKey, 0}, {kTermKey, term_version_}};
     txn.writes = {{kSeatKey, wire::Json{{"node", node_}}, hold_},
                   {kTermKey, wire::Json{{"term", term_}, {"node", node_}}, 0}};
-    client_.commit(txn, state::Urgency::control, kCall, [this](const state::CommitReply& r) {
+    store_.commit(txn, [this](Millis t, const state::CommitReply& r) {
         if (state_ != State::claiming) return;
         if (r.outcome != state::Outcome::ok) {
             // Also when the outcome is unknown: without the term's stamp nobody can lead. The hold
             // is ended, so that a seat taken after all falls free.
-            client_.end_lease(hold_);
-            set_state(State::following);
-            campaign_timer_.after(kRetry);
+            store_.end_lease(hold_);
+            hold_ = 0;
+            give_up(t);
             return;
         }
         term_version_ = r.revision;
@@ -171,55 +188,53 @@
         validity_.reset();
         validity_.renewed(hold_sent_);
         set_state(State::leading);
-        renew_timer_.after(kRenewEvery / 2);
-        check_validity();
+        by(renew_at_, t + kRenewEvery / 2);
+        check_validity(t);
         hooks_.elected(term_, term_version_);
         hooks_.confirmed(validity_.until());
     });
 }
 
-void Election::renew() {
+void Election::renew(Millis now) {
     if (state_ != State::leading && state_ != State::doubting) return;
-    Millis sent = now();
-    renew_timer_.after(kRenewEvery);
-    client_.renew(hold_, kCall, [this, sent, hold = hold_](const state::LeaseReply& r) {
+    by(renew_at_, now + kRenewEvery);
+    store_.renew(hold_, [this, now, hold = hold_](Millis t, const state::LeaseReply& r) {
         if (hold != hold_ || (state_ != State::leading && state_ != State::doubting)) return;
         if (r.outcome == state::Outcome::ok) {
-            validity_.renewed(sent);
-            if (state_ == State::doubting && validity_.valid(now())) set_state(State::leading);
+            validity_.renewed(now);
+            if (state_ == State::doubting && validity_.valid(t)) set_state(State::leading);
             hooks_.confirmed(validity_.until());
-            check_validity();
+            check_validity(t);
         } else if (r.outcome == state::Outcome::missing) {
-            over("the hold ended");
+            over("the hold ended", t);
         }
     });
 }
 
-void Election::check_validity() {
+void Election::check_validity(Millis now) {
     if (state_ != State::leading) return;
-    if (!validity_.valid(now())) {
+    if (!validity_.valid(now)) {
         set_state(State::doubting);
         return;
     }
-    validity_timer_.after(validity_.until() - now());
+    by(validity_at_, validity_.until());
 }
 
-void Election::step_down(const std::string& why, Millis rest) {
+void Election::step_down(const std::string& why, Millis rest, Millis now) {
     if (state_ != State::leading && state_ != State::doubting) return;
-    rest_until_ = now() + rest;
-    client_.end_lease(hold_);
-    over(why);
+    rest_until_ = now + rest;
+    store_.end_lease(hold_);
+    over(why, now);
 }
 
-void Election::over(const std::string& why) {
+void Election::over(const std::string& why, Millis now) {
     spdlog::warn("term {} is over: {}", term_, why);
-    renew_timer_.stop();
-    validity_timer_.stop();
+    renew_at_ = validity_at_ = kNever;
     validity_.reset();
     hold_ = 0;
     set_state(State::following);
     hooks_.deposed(why);
-    campaign_timer_.after(kRetry);
+    by(campaign_at_, now + kRetry);
 }
 
 }  // namespace nickelramp::leadership
--- a/src/leadership/term.h
+++ b/src/leadership/term.h
@@ -3,7 +3,8 @@
 //   lead/seat   {node}         attached to the leader's hold; present while somebody leads
 //   lead/term   {term, node}   its stamp is the condition of every transaction of that term
 //
-// The decisions are here and take replies and the time as arguments; Election runs them.
+// The decisions take replies and the time as arguments, own no sockets and read no clock;
+// leadership/runner.h runs them.
 #pragma once
 #include <cstdint>
 #include <functional>
@@ -13,7 +14,6 @@
 
 #include "base/time.h"
 #include "duties/lease.h"
-#include "net/timer.h"
 #include "state/client.h"
 
 namespace nickelramp::leadership {
@@ -30,6 +30,24 @@
 enum class State { following, reading, holding, claiming, leading, doubting };
 const char* name(State s);
 
+// What the election asks of the state service. Every call is answered once, later.
+class Store {
+  public:
+    virtual ~Store() = default;
+    virtual void list(const std::string& prefix,
+                      std::function<void(Millis, const state::ListReply&)> done) = 0;
+    virtual void watch(const std::string& prefix, std::uint64_t after, Millis wait,
+                       std::function<void(Millis, const state::ListReply&)> done) = 0;
+    virtual void get(const std::string& key,
+                     std::function<void(Millis, const state::GetReply&)> done) = 0;
+    virtual void commit(const state::Txn& txn,
+                        std::function<void(Millis, const state::CommitReply&)> done) = 0;
+    virtual void lease(Millis life, std::function<void(Millis, const state::LeaseReply&)> done) = 0;
+    virtual void renew(std::uint64_t hold,
+                       std::function<void(Millis, const state::LeaseReply&)> done) = 0;
+    virtual void end_lease(std::uint64_t hold) = 0;
+};
+
 class Election {
   public:
     struct Hooks {
@@ -37,37 +55,39 @@
         std::function<void(Millis until)> confirmed;  // the hold certainly lasts until then
         std::function<void(const std::string& why)> deposed;
         std::function<void(const std::string& leader)> leader_changed;
+        std::function<void(Millis at)> wake;  // there is something to do then, not later
     };
-    Election(uv_loop_t* loop, state::Client& state, std::string node, std::uint64_t seed,
-             Hooks hooks);
+    Election(Store& store, std::string node, std::uint64_t seed, Hooks hooks);
 
-    void start();
-    void step_down(const std::string& why, Millis rest);  // give the seat up, and wait that long
+    void start(Millis now);
+    void tend(Millis now);  // what its dates bring
+    // Gives the seat up, and waits that long.
+    void step_down(const std::string& why, Millis rest, Millis now);
     State state() const { return state_; }
     const std::string& leader() const { return leader_; }  // as last read; may be stale
     std::uint64_t term() const { return term_; }
     // This node's hold, to which its duties are attached; 0: none.
     std::uint64_t hold() const { return hold_; }
-    // Until when it may decide, by its own clock. The timer that says so in the log comes late after
-    // a freeze; whoever acts asks this.
+    // Until when it may decide, by its own clock. The timer that says so in the log comes late
+    // after a freeze; whoever acts asks this.
     Millis certain_until() const { return hold_ == 0 ? 0 : validity_.until(); }
 
   private:
     void set_state(State s);
-    void watch();
-    void read_seat();
-    void seat_seen(const std::string& node, std::uint64_t version);
-    void campaign();
+    void by(Millis& date, Millis at);
+    void watch(Millis now);
+    void read_seat(Millis now);
+    void seat_seen(const std::string& node, std::uint64_t version, Millis now);
+    void campaign(Millis now);
     void read_term();
-    void take_hold();
+    void take_hold(Millis now);
     void claim();
-    void renew();
-    void check_validity();
-    void over(const std::string& why);
-    Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
+    void renew(Millis now);
+    void check_validity(Millis now);
+    void over(const std::string& why, Millis now);
+    void give_up(Millis now);  // this campaign
 
-    uv_loop_t* loop_;
-    state::Client& client_;
+    Store& store_;
     std::string node_;
     Hooks hooks_;
     std::minstd_rand random_;
@@ -81,7 +101,7 @@
     Millis hold_sent_ = 0;
     Millis rest_until_ = 0;
     duties::Validity validity_;
-    net::Timer campaign_timer_, renew_timer_, validity_timer_, watch_timer_;
+    Millis campaign_at_ = kNever, renew_at_ = kNever, validity_at_ = kNever, watch_at_ = kNever;
 };
 
 }  // namespace nickelramp::leadership
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -5,7 +5,7 @@
 
 #include "fleet/cloud.h"
 #include "jobs/desk.h"
-#include "leadership/term.h"
+#include "leadership/runner.h"
 #include "net/address.h"
 #include "net/http_client.h"
 #include "tests/standin.h"
@@ -213,7 +213,7 @@
         std::uint64_t term = 0;
         bool leads = false;
         Millis certain = 0;
-        leadership::Election election;
+        leadership::Runner election;
         Candidate(uv_loop_t* loop, const char* name, std::uint64_t seed)
             : state(loop, *net::parse_address("127.0.0.1:39305"), "state", {200, 200}),
               election(loop, state, name, seed,
@@ -222,7 +222,9 @@
                             leads = true;
                         },
                         [this](Millis until) { certain = until; },
-                        [this](const std::string&) { leads = false; }, [](const std::string&) {}}) {
+                        [this](const std::string&) { leads = false; },
+                        [](const std::string&) {},
+                        {}}) {
             election.start();
         }
     };
