--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -180,6 +180,35 @@
     }
 }
 
+// The leader stands still as it sends machines back; they go 25 s later, and work has come
+// meanwhile. The successor finds them on record as leaving, and places it elsewhere.
+TEST(Dispatch, WhatIsOnItsWayOutTakesNoWorkOfASuccessor) {
+    std::size_t tried = 0;
+    for (std::uint64_t seed = 11; seed < 16; ++seed) {
+        for (std::size_t step = 1; step < 60; ++step) {
+            if (HasFailure()) return;
+            SCOPED_TRACE(testing::Message() << "seed " << seed << " step " << step);
+            World world(seed, {}, 0, {{"g4", 16, 4, 64, 50, 1, 10, 4, 10, {"a", "b"}}});
+            admin::Options o;
+            o.keep_margin = o.hire_margin = o.spot_margin = o.replica_margin = 0;
+            world.set_options(o);
+            auto done = [&](const std::string& id) {
+                world.submit(job(id, "sweep", 3, 4));
+                for (int n = 0; n < 60 && world.final_state(id).empty(); ++n)
+                    world.run_until(world.now() + 5'000);
+                EXPECT_EQ(world.final_state(id), "done");
+            };
+            done("job-1");
+            world.strike(step, test::Blow::freeze);
+            for (int n = 0; n < 400 && !world.struck(); ++n) world.run_until(world.now() + 1'000);
+            if (!world.struck()) break;
+            if (world.machines() > world.returned()) ++tried;
+            done("job-2");
+        }
+    }
+    EXPECT_GE(tried, 6u);
+}
+
 // A check-in that came between the taking back of a block and the reading of its jobs' records once
 // showed tasks that the book did not know yet, and they were stopped as strays.
 TEST(Dispatch, TasksOfABlockThatIsTakenBackRunOn) {
