A dark zone's machines are kept for a boot after their leases

Cause: as the leases of a zone that was cut off ended, machines were returned for arrays and gangs, which the lease frees by itself, and for single replicas that had a place elsewhere, with others on them that had none. A zone that came back seconds later found machines booting in its place.

Change: in the dark a machine is given up before its leases end only if replicas are on it and all of them may run elsewhere; any other is kept for a boot after its leases. Silent::others is gone.

--- a/src/domains/domains.cpp
+++ b/src/domains/domains.cpp
@@ -101,7 +101,6 @@
     // What runs there runs on until its lease is over: then it had better be elsewhere already.
     const double price = kMovePrice;
     if (sky_ == Sky::dark && s.replicas && now > s.lease_until - kAhead) return draw(true, price);
-    if (sky_ == Sky::dark && s.others && now > s.lease_until) return draw(false, price);
     // A machine that answers again sooner than another boots is worth its price.
     return now > s.lease_until + patience && draw(false);
 }
--- a/src/domains/domains.h
+++ b/src/domains/domains.h
@@ -22,8 +22,7 @@
 struct Silent {
     bool stuck = false;      // its tasks make no progress: others of their gangs have ended
     bool firm = false;       // gangs or replicas are on it, not arrays alone
-    bool replicas = false;   // some of them may be started in another domain
-    bool others = false;     // the same of what is no replica
+    bool replicas = false;   // some are on it, and all may be started in another domain
     Millis lease_until = 0;  // about then what is on it ends by itself
 };
 
--- a/src/domains/silence.cpp
+++ b/src/domains/silence.cpp
@@ -53,12 +53,7 @@
     });
     s.firm = m.firm > 0;
     s.lease_until = likely_end(m);
-    if (domains_.shut(m.zone)) {
-        for (const Attempt* a : m.attempts) {
-            bool& kind = book_.job_of(*a).service() ? s.replicas : s.others;
-            kind = kind || movable(m, *a);
-        }
-    }
+    if (domains_.shut(m.zone)) s.replicas = all_replicas_movable(m);
     const Millis boot = m.type == kNone ? 0 : seconds(book_.types()[m.type].boot_s);
     if (domains_.give_up(m.zone, s, boot, now)) book_.give_back(m, "is silent");
 }
@@ -78,6 +73,18 @@
     return deputy ? deputies_.until(m.lease_until) : m.heard_at + seconds(term_.settings().lease_s);
 }
 
+// Replicas are on it, and each of them could be started in another zone. One that could not would
+// gain nothing by the return: it may come back with its machine and the images there.
+bool Silence::all_replicas_movable(const Machine& m) const {
+    bool any = false;
+    for (const Attempt* a : m.attempts) {
+        if (!a->live() || !book_.job_of(*a).service()) continue;
+        if (!movable(m, *a)) return false;
+        any = true;
+    }
+    return any;
+}
+
 // Might the task be started in another zone?
 bool Silence::movable(const Machine& m, const Attempt& a) const {
     const Job& j = book_.job_of(a);
--- a/src/domains/silence.h
+++ b/src/domains/silence.h
@@ -42,6 +42,7 @@
 
   private:
     Millis likely_end(const workers::Machine& m) const;
+    bool all_replicas_movable(const workers::Machine& m) const;
     bool movable(const workers::Machine& m, const jobs::Attempt& a) const;
 
     const book::Term& term_;
