Blocks are taken back only under a known fence of reclaiming

Cause: found in reading: while nobody was known to have the duty, the transaction that takes a block back named no fence as its condition, which says that there must be no record of the duty, and would have held.

Change: such blocks wait until the fence is known; other grants go on. Parts.BlocksAreTakenBackUnderTheirDutyOnly fails without it.

--- a/src/checkpoint/grants.cpp
+++ b/src/checkpoint/grants.cpp
@@ -25,6 +25,12 @@
     txn.conditions = term_.conditions();
     const std::size_t most = term_.settings().state_txn_ops / 2;
     auto numbers = ledger_.to_write(most);
+    // Taking back what another holds is a duty of its own: nobody's for a moment, it waits. A
+    // condition on no fence would say that nobody may have it.
+    const std::uint64_t fence = term_.fence(duties::Duty::reclaiming);
+    if (fence == 0)
+        std::erase_if(numbers, [this](std::uint32_t n) { return ledger_.block(n).taken_back; });
+    if (numbers.empty()) return;
     // Machines that join one by one are recorded together; a new leader's many grants do not wait.
     if (numbers.size() < most) next_at_ = now + kBlockGap;
     std::vector<std::string> members;
@@ -41,11 +47,7 @@
         reclaims |= b.taken_back;
         for (const blocks::Member& m : b.members) members.push_back(m.name);
     }
-    // Taking back what another holds is a duty of its own.
-    if (reclaims) {
-        const auto d = duties::Duty::reclaiming;
-        txn.conditions.push_back({duties::duty_key(d), term_.fence(d)});
-    }
+    if (reclaims) txn.conditions.push_back({duties::duty_key(duties::Duty::reclaiming), fence});
     in_flight_ = true;
     term_.outbox().commit(
         std::move(txn),
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -568,6 +568,28 @@
     EXPECT_FALSE(p.intents.on_record(duties::Duty::renting, name));
 }
 
+// While nobody is known to have the duty of reclaiming, a block that is taken back is not recorded:
+// a condition on no fence once said that nobody may have the duty, and held.
+TEST(Parts, BlocksAreTakenBackUnderTheirDutyOnly) {
+    Parts p;
+    auto& ledger = p.grants.ledger();
+    for (const char* name : {"m-1", "m-2"}) ledger.add({name, "x:1", "g4", "a", false});
+    const std::uint32_t lent = ledger.lend({"m-1"}, "holder-0");
+    p.grants.commit(1000);
+    p.record_intents(1000);  // answers all that was asked
+    ledger.take_back(lent);
+    p.term.set_fence(duties::Duty::reclaiming, 0);
+    p.grants.commit(2000);
+    EXPECT_TRUE(p.post.commits.empty());
+    p.term.set_fence(duties::Duty::reclaiming, 88);
+    p.grants.commit(3000);
+    ASSERT_EQ(p.post.commits.size(), 1u);
+    const auto& conditions = p.post.commits.front().first.conditions;
+    EXPECT_TRUE(std::any_of(conditions.begin(), conditions.end(), [](const auto& c) {
+        return c.key == "duty/reclaiming" && c.version == 88;
+    }));
+}
+
 // A duty whose fence has changed is not acted under: the record is not written, whoever keeps the
 // duties is told, and nothing goes out until the new fence is known.
 TEST(Parts, NothingIsSentUnderADutyThatIsAnothers) {
