--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -256,6 +256,13 @@
     return b == Blow::freeze || b == Blow::hold ? 25'000 : 0;
 }
 
+World::Way World::to_cloud() {
+    const Millis held = blow();
+    const bool late = held > 0 || chance(trouble_.late_cloud);
+    const bool lost = late || chance(trouble_.lost_cloud);
+    return {now_ + (held > 0 ? held : late ? 4'000 + delay(56'000) : delay(300)), lost};
+}
+
 void World::set_key(const std::string& key, const Json& value) {
     keys_[key] = {value, ++revision_};
 }
@@ -439,13 +446,8 @@
     World& w = *world;
     const Rental asked{type, zone, spot, count, {}};
     w.hired_types_.push_back(type);
-    const Millis held = w.blow();
-    const bool late = held > 0 || w.chance(w.trouble_.late_cloud);
-    const bool lost = late || w.chance(w.trouble_.lost_cloud);
-    const Millis arrive = w.now_ + (held > 0 ? held
-                                    : late   ? 4'000 + w.delay(56'000)
-                                             : w.delay(300));
-    w.at(arrive, [&w, request, asked, done, lost] {
+    const auto [arrive, lost] = w.to_cloud();
+    w.at(arrive, [&w, request, asked, done, lost = lost] {
         auto reply = w.rent(request, asked);
         if (!lost) done(w.now_, reply);
     });
@@ -491,13 +493,8 @@
 void World::Node::give_back(const std::vector<std::string>& names,
                             std::function<void(Millis, bool)> done) {
     World& w = *world;
-    const Millis held = w.blow();
-    const bool late = held > 0 || w.chance(w.trouble_.late_cloud);
-    const bool lost = late || w.chance(w.trouble_.lost_cloud);
-    const Millis arrive = w.now_ + (held > 0 ? held
-                                    : late   ? 4'000 + w.delay(56'000)
-                                             : w.delay(300));
-    w.at(arrive, [&w, names, done, lost, by = term] {
+    const auto [arrive, lost] = w.to_cloud();
+    w.at(arrive, [&w, names, done, lost = lost, by = term] {
         w.take_back(names, by);
         if (!lost) done(w.now_, true);
     });
--- a/tests/world.h
+++ b/tests/world.h
@@ -160,6 +160,12 @@
         return 1 + static_cast<Millis>(random_() % static_cast<unsigned>(most));
     }
     state::CommitReply apply(const state::Txn& txn);
+    // When a call arrives at the cloud, and whether its answer is lost.
+    struct Way {
+        Millis arrive = 0;
+        bool lost = false;
+    };
+    Way to_cloud();
     // How long the message that is being sent is held up, and what else befalls its sender.
     Millis blow();
     fleet::HireReply rent(const std::string& request, const Rental& asked);
