Reading the duties again: what nobody read is gone, twins share one piece

Change: the status no longer carries duties that nobody reads; unused results, getters and parameters are gone; Market::fresh is counted, not kept beside; whole lists are read through Client::page; state::stamp serves the three places that read a record's stamp again; the life of holds and the freshness of peers are defined once; Node::timed serves all that add the time to an answer. The three new messages have round trips in the codec's test. Behaviour is meant to be the same.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -211,7 +211,7 @@
 
 void Node::checkin(const net::Request& request, const net::Responder& responder) {
     // An answer gives a lease: its time must not be from before a freeze.
-    fresh();
+    uv_update_time(loop_);
     auto redirect = [&] {
         const std::string& leader = election_.leader();
         if (leader.empty() || leader == settings_.name) {
@@ -565,34 +565,31 @@
 }
 
 duties::Office::Hooks Node::office_hooks() {
-    auto at = [this](auto done) {
-        return [this, done = std::move(done)](const auto& r) { done(now(), r); };
-    };
     duties::Office::Hooks h;
     h.clock = clock;
     h.leading = [this] { return leads(); };
-    h.commit = [this, at](state::Txn txn, duties::Office::CommitDone done) {
-        state_.commit(txn, state::Urgency::control, kCommit, at(std::move(done)),
+    h.commit = [this](state::Txn txn, duties::Office::CommitDone done) {
+        state_.commit(txn, state::Urgency::control, kCommit, timed(std::move(done)),
                       while_lasting(leading_));
     };
-    h.clean = [this, at](const duties::Permit<duties::Cleaning>& permit, const state::Txn& txn,
-                         duties::Office::CommitDone done) {
-        state_.commit(txn, state::Urgency::work, kCommit, at(std::move(done)),
+    h.clean = [this](const duties::Permit<duties::Cleaning>& permit, const state::Txn& txn,
+                     duties::Office::CommitDone done) {
+        state_.commit(txn, state::Urgency::work, kCommit, timed(std::move(done)),
                       [permit] { return permit.lasts(); });
     };
-    h.list = [this, at](const std::string& prefix, duties::Office::ListDone done) {
-        state_.list(prefix, state::Urgency::control, at(std::move(done)));
+    h.list = [this](const std::string& prefix, duties::Office::ListDone done) {
+        state_.list(prefix, state::Urgency::control, timed(std::move(done)));
     };
-    h.page = [this, at](const std::string& prefix, const std::string& after, std::size_t most,
-                        duties::Office::ListDone done) {
-        state_.page(prefix, after, most, state::Urgency::work, at(std::move(done)));
+    h.page = [this](const std::string& prefix, const std::string& after, std::size_t most,
+                    duties::Office::ListDone done) {
+        state_.page(prefix, after, most, state::Urgency::work, timed(std::move(done)));
     };
     h.spare = [this] { return state_.spare(); };
-    h.take_hold = [this, at](Millis life, duties::Office::LeaseDone done) {
-        state_.lease(life, at(std::move(done)));
+    h.take_hold = [this](Millis life, duties::Office::LeaseDone done) {
+        state_.lease(life, timed(std::move(done)));
     };
-    h.renew_hold = [this, at](std::uint64_t hold, duties::Office::LeaseDone done) {
-        state_.renew(hold, kCommit, at(std::move(done)));
+    h.renew_hold = [this](std::uint64_t hold, duties::Office::LeaseDone done) {
+        state_.renew(hold, kCommit, timed(std::move(done)));
     };
     h.end_hold = [this](std::uint64_t hold) { state_.end_lease(hold); };
     h.charge = [this](const std::string& peer, const peers::Charge& m) { order(peer, m); };
@@ -600,9 +597,9 @@
     h.outcome = [this](const std::string& peer, const peers::Outcome& m) {
         mesh_.send(peer, peers::encode(m));
     };
-    h.hire = [this, at](const duties::Permit<duties::Renting>& permit, const duties::Intent& i,
-                        duties::Office::HireDone done) {
-        cloud_.hire(permit, i.name, i.type, i.zone, i.spot, i.count, at(std::move(done)));
+    h.hire = [this](const duties::Permit<duties::Renting>& permit, const duties::Intent& i,
+                    duties::Office::HireDone done) {
+        cloud_.hire(permit, i.name, i.type, i.zone, i.spot, i.count, timed(std::move(done)));
     };
     h.give_back = [this](const duties::Permit<duties::Returning>& permit,
                          const std::vector<std::string>& machines, duties::Office::HireDone done) {
@@ -676,24 +673,18 @@
 
 void Node::Box::commit(state::Txn txn,
                        std::function<void(Millis, const state::CommitReply&)> done) {
-    node_.state_.commit(
-        txn, txn.urgency, kCommit,
-        [&n = node_, done = std::move(done)](const state::CommitReply& r) { done(n.now(), r); },
-        while_lasting(deciding_));
+    node_.state_.commit(txn, txn.urgency, kCommit, node_.timed(std::move(done)),
+                        while_lasting(deciding_));
 }
 
 void Node::Box::read(const std::string& key,
                      std::function<void(Millis, const state::GetReply&)> done) {
-    node_.state_.get(
-        key, state::Urgency::work, kCommit,
-        [&n = node_, done = std::move(done)](const state::GetReply& r) { done(n.now(), r); });
+    node_.state_.get(key, state::Urgency::work, kCommit, node_.timed(std::move(done)));
 }
 
 void Node::Box::list(const std::string& prefix,
                      std::function<void(Millis, const state::ListReply&)> done) {
-    node_.state_.list(
-        prefix, state::Urgency::work,
-        [&n = node_, done = std::move(done)](const state::ListReply& r) { done(n.now(), r); });
+    node_.state_.list(prefix, state::Urgency::work, node_.timed(std::move(done)));
 }
 
 void Node::Box::direct(const std::string& machine, const std::string& address, std::uint64_t token,
--- a/src/book/term.h
+++ b/src/book/term.h
@@ -74,17 +74,14 @@
         out.push_back({duties::duty_key(d), fence(d)});
         return out;
     }
-    // Did the transaction fail because the duty is another's, or nobody's, by now?
-    bool refuted(const state::CommitReply& reply) {
-        bool any = false;
+    // The transaction may have failed because a duty is another's, or nobody's, by now.
+    void refuted(const state::CommitReply& reply) {
         for (const std::string& key : reply.failed) {
             auto d = duties::duty_of_key(key);
             if (!d) continue;
             set_fence(*d, 0);
             outbox_.refuted(*d);
-            any = true;
         }
-        return any;
     }
     // Did the transaction fail because the term, or this holder's grant, is over?
     bool superseded(const state::CommitReply& reply) {
--- a/src/checkpoint/checkpoints.cpp
+++ b/src/checkpoint/checkpoints.cpp
@@ -156,11 +156,8 @@
             if (found == nullptr) return;
             found->commit_in_flight = false;
             jobs::Chunk& c = found->chunks[chunk];
-            if (reply.outcome == state::Outcome::ok) {
-                c.version = reply.item.version;
-                c.uncertain = false;
-            } else if (reply.outcome == state::Outcome::missing) {
-                c.version = 0;
+            if (auto stamp = state::stamp(reply)) {
+                c.version = *stamp;
                 c.uncertain = false;
             } else {
                 found->retry_commit_at = t + kRetry;
--- a/src/checkpoint/grants.cpp
+++ b/src/checkpoint/grants.cpp
@@ -62,14 +62,12 @@
                         term_.guarded([this, n](Millis t, const state::GetReply& r) {
                             in_flight_ = false;
                             blocks::Block& again = ledger_.block(n);
-                            if (r.outcome == state::Outcome::ok)
-                                again.version = r.item.version;
-                            else if (r.outcome == state::Outcome::missing)
-                                again.version = 0;
-                            else {
+                            auto stamp = state::stamp(r);
+                            if (!stamp) {
                                 retry_at_ = t + kRetry;
                                 return;
                             }
+                            again.version = *stamp;
                             again.uncertain = false;
                             commit(t);
                         }));
--- a/src/duties/errands.h
+++ b/src/duties/errands.h
@@ -23,7 +23,6 @@
     void expire(Millis now);
     // It did not go out.
     void unsent(std::uint64_t number, Millis now);
-    std::size_t size() const { return open_.size(); }
 
   private:
     struct Open {
--- a/src/duties/intents.cpp
+++ b/src/duties/intents.cpp
@@ -169,14 +169,12 @@
                         term_.guarded([this, d](Millis t, const state::GetReply& reply) {
                             Record& r = record(d);
                             r.in_flight = false;
-                            if (reply.outcome == state::Outcome::ok)
-                                r.version = reply.item.version;
-                            else if (reply.outcome == state::Outcome::missing)
-                                r.version = 0;
-                            else {
+                            auto stamp = state::stamp(reply);
+                            if (!stamp) {
                                 r.next_at = t + kRetry;
                                 return;
                             }
+                            r.version = *stamp;
                             r.uncertain = false;
                             commit(d, t);
                         }));
--- a/src/duties/intents.h
+++ b/src/duties/intents.h
@@ -10,7 +10,6 @@
 // record a second at the most.
 #pragma once
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
--- a/src/duties/keeper.cpp
+++ b/src/duties/keeper.cpp
@@ -118,16 +118,13 @@
                       asking_ = false;
                       for (Duty d : asked) {
                           if (state(d) != State::claiming) continue;
-                          Entry& e = entry(d);
                           if (r.outcome == state::Outcome::ok) {
-                              e.post = mine();
-                              e.fence = r.revision;
-                              set_state(d, State::held);
-                          } else {
-                              // It may have been applied after all: the record tells.
-                              e.retry_at = t + kRetry;
-                              set_state(d, State::unknown);
+                              found(d, mine(), r.revision);
+                              continue;
                           }
+                          // It may have been applied after all: the record tells.
+                          entry(d).retry_at = t + kRetry;
+                          set_state(d, State::unknown);
                       }
                   });
 }
@@ -170,7 +167,6 @@
 void Keeper::charged(Duty d, std::uint64_t fence, std::uint64_t hold) {
     Entry& e = entry(d);
     if (leads() || fence < e.fence) return;
-    if (e.state == State::held && e.fence == fence) return;
     e.fence = fence;
     e.post = {node_, incarnation_, hold};
     set_state(d, State::held);
--- a/src/duties/keeper.h
+++ b/src/duties/keeper.h
@@ -47,7 +47,7 @@
     void refuted(Duty d);
     // Moves the duty to another controller's hold.
     void give(Duty d, const Post& to);
-    // Takes it back from a holder that has said that it does not act under it any more.
+    // Takes it back from a holder whose charges are over.
     void take(Duty d);
 
     // --- the helper's side: what the leader says that this controller has
@@ -64,8 +64,6 @@
     }
     // May this controller act under the duty, as far as its record goes? 0: no.
     std::uint64_t acting(Duty d) const { return state(d) == State::held ? fence(d) : 0; }
-    // Has it on a hold of its own, not on a leader's.
-    bool helps(Duty d) const { return !leads() && state(d) == State::held; }
 
   private:
     struct Entry {
--- a/src/duties/lease.h
+++ b/src/duties/lease.h
@@ -18,6 +18,10 @@
 struct Returning {};
 struct Cleaning {};
 
+// Of the holds that the seat and the duties hang on.
+inline constexpr Millis kHoldLife = 4'000;
+inline constexpr Millis kHoldRenewEvery = 900;
+
 // A hold is certainly alive until its last answered renewal was *sent* plus its life, less what the
 // clocks may drift.
 class Validity {
--- a/src/duties/office.cpp
+++ b/src/duties/office.cpp
@@ -9,13 +9,9 @@
 namespace nickelramp::duties {
 
 namespace {
-constexpr Millis kLife = 4'000;  // of the helper's hold
-constexpr Millis kRenewEvery = 900;
 constexpr Millis kRetry = 500;
-constexpr Millis kCharge = 4'000;         // a charge lasts so long, by the helper's clock
-constexpr Millis kUncharged = 30'000;     // then the helper lets its hold go
-constexpr std::uint64_t kServed = 8'000;  // by the state service, so lately
-std::uint64_t bit(Duty d) { return std::uint64_t{1} << static_cast<std::size_t>(d); }
+constexpr Millis kCharge = 4'000;      // a charge lasts so long, by the helper's clock
+constexpr Millis kUncharged = 30'000;  // then the helper lets its hold go
 std::size_t at(Duty d) { return static_cast<std::size_t>(d); }
 }  // namespace
 
@@ -38,7 +34,7 @@
       renting_([this] { return hooks_.clock(); }, [this] { return right(Duty::renting); }),
       returning_([this] { return hooks_.clock(); }, [this] { return right(Duty::returning); }),
       cleaning_([this] { return hooks_.clock(); }, [this] { return right(Duty::cleaning); }),
-      hold_validity_(kLife) {}
+      hold_validity_(kHoldLife) {}
 
 Right Office::right(Duty d) const {
     const std::uint64_t fence = keeper_.acting(d);
@@ -78,7 +74,8 @@
 }
 
 void Office::heard(const peers::Status& s, Millis now) {
-    peers_[s.from] = {s.incarnation, s.clock_ms, s.hold, s.state_age_ms < kServed, now};
+    peers_[s.from] = {s.incarnation, s.clock_ms, s.hold, s.state_age_ms < peers::kServedLately,
+                      now};
 }
 
 const Office::Peer* Office::fresh(const std::string& name, Millis now) const {
@@ -153,9 +150,6 @@
 
 void Office::tell(peers::Status& s, Millis now) const {
     s.hold = hold_state_ == HoldState::held && hold_validity_.valid(now) ? hold_ : 0;
-    for (Duty d : kAll) {
-        if (keeper_.helps(d) && now < right(d).until) s.duties |= bit(d);
-    }
 }
 
 // The lease runs from when this node sent the status that the charge answers.
@@ -199,8 +193,8 @@
     if (now < renew_at_) return;
     if (hold_state_ == HoldState::none && now < kept_until_) {
         set_hold_state(HoldState::taking);
-        renew_at_ = now + kRenewEvery;
-        hooks_.take_hold(kLife, [this, now](Millis t, const state::LeaseReply& r) {
+        renew_at_ = now + kHoldRenewEvery;
+        hooks_.take_hold(kHoldLife, [this, now](Millis t, const state::LeaseReply& r) {
             if (hold_state_ != HoldState::taking) {
                 if (r.outcome == state::Outcome::ok) hooks_.end_hold(r.lease);
                 return;
@@ -216,7 +210,7 @@
             set_hold_state(HoldState::held);
         });
     } else if (hold_state_ == HoldState::held) {
-        renew_at_ = now + kRenewEvery;
+        renew_at_ = now + kHoldRenewEvery;
         hooks_.renew_hold(hold_, [this, now, hold = hold_](Millis, const state::LeaseReply& r) {
             if (hold != hold_ || hold_state_ != HoldState::held) return;
             if (r.outcome == state::Outcome::ok)
@@ -288,15 +282,15 @@
     auto answer = [this, from = m.from, number = m.number](Millis, const fleet::HireReply& r) {
         hooks_.outcome(from, {node_, number, static_cast<std::uint64_t>(r.result), r.machines});
     };
-    const bool rents = m.duty == at(Duty::renting);
+    const bool mine = m.incarnation == incarnation_;
     auto renting = renting_.permit();
     auto returning = returning_.permit();
-    if (m.incarnation == incarnation_ && rents && renting && renting->fence() == m.fence &&
+    if (mine && m.duty == at(Duty::renting) && renting && renting->fence() == m.fence &&
         m.count > 0 && m.count <= UINT32_MAX) {
         hooks_.hire(*renting,
                     {m.request, m.type, m.zone, m.spot != 0, static_cast<std::uint32_t>(m.count)},
                     answer);
-    } else if (m.incarnation == incarnation_ && m.duty == at(Duty::returning) && returning &&
+    } else if (mine && m.duty == at(Duty::returning) && returning &&
                returning->fence() == m.fence && !m.machines.empty()) {
         hooks_.give_back(*returning, m.machines, answer);
     } else {
--- a/src/duties/office.h
+++ b/src/duties/office.h
@@ -72,7 +72,6 @@
 
     const Keeper& keeper() const { return keeper_; }
     const Sweep& sweep() const { return sweep_; }
-    const std::string& helper() const { return helper_; }
     wire::Json overview() const;
     // Until when this controller may act under the duty, and by which fence.
     Right right(Duty d) const;
--- a/src/duties/sweep.cpp
+++ b/src/duties/sweep.cpp
@@ -105,7 +105,7 @@
     set_state(State::matching);
     ++requests_;
     hooks_.page("open/", open_after_, kPage, current([this](Millis t, const state::ListReply& r) {
-                    // The page is read again: nothing was dropped of it.
+                    // From the beginning: nothing was dropped of this page.
                     if (r.outcome != state::Outcome::ok) {
                         after_.clear();
                         return rest(t + kBusy);
@@ -156,8 +156,9 @@
         after_.clear();
         ++rounds_;
     }
+    const Millis gap = round_over_ ? kRoundGap : kPageGap;
     if (!worth) {
-        rest(now + (round_over_ ? kRoundGap : kPageGap));
+        rest(now + gap);
         return;
     }
     unnoted_ = 0;
@@ -166,17 +167,18 @@
     txn.conditions = {{duty_key(Duty::cleaning), fence_}, {kCursorKey, cursor_version_}};
     txn.writes = {{kCursorKey, wire::Json{{"after", after_}, {"rounds", rounds_}}}};
     ++requests_;
-    hooks_.commit(*permit_, std::move(txn), current([this](Millis t, const state::CommitReply& r) {
-        if (r.outcome == state::Outcome::ok)
-            cursor_version_ = r.revision;
-        else if (r.outcome != state::Outcome::refused) {
-            // Applied after all, or another's: read it again.
-            set_state(State::off);
-            next_at_ = t + kBusy;
-            return;
-        }
-        rest(t + (round_over_ ? kRoundGap : kPageGap));
-    }));
+    hooks_.commit(*permit_, std::move(txn),
+                  current([this, gap](Millis t, const state::CommitReply& r) {
+                      if (r.outcome == state::Outcome::ok)
+                          cursor_version_ = r.revision;
+                      else if (r.outcome != state::Outcome::refused) {
+                          // Applied after all, or another's: read it again.
+                          set_state(State::off);
+                          next_at_ = t + kBusy;
+                          return;
+                      }
+                      rest(t + gap);
+                  }));
 }
 
 }  // namespace nickelramp::duties
--- a/src/fleet/cloud.cpp
+++ b/src/fleet/cloud.cpp
@@ -66,15 +66,11 @@
 }
 
 void Cloud::types(TypesDone done) {
-    submit(looks_, {"GET",
-                    "/machine_types",
-                    "",
-                    kCall,
-                    [done = std::move(done)](const net::Reply& r) {
-                        auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
-                        done(body ? wire::parse_types(*body) : std::nullopt);
-                    },
-                    {}});
+    submit(looks_,
+           {"GET", "/machine_types", "", kCall, [done = std::move(done)](const net::Reply& r) {
+                auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
+                done(body ? wire::parse_types(*body) : std::nullopt);
+            }});
 }
 
 void Cloud::hosts(HostsDone done) {
@@ -85,24 +81,20 @@
                       HostsDone done) {
     std::string target = "/hosts?limit=500";
     if (!after.empty()) target += "&from=" + after;
-    submit(looks_, {"GET",
-                    target,
-                    "",
-                    kCall,
-                    [this, sofar, done = std::move(done)](const net::Reply& r) {
-                        auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
-                        auto page = body ? wire::parse_hosts(*body) : std::nullopt;
-                        if (!page) {
-                            done(std::nullopt);
-                            return;
-                        }
-                        for (wire::Host& h : page->hosts) sofar->push_back(std::move(h));
-                        if (page->more && !sofar->empty())
-                            host_page(sofar, sofar->back().id, done);
-                        else
-                            done(*sofar);
-                    },
-                    {}});
+    submit(looks_,
+           {"GET", target, "", kCall, [this, sofar, done = std::move(done)](const net::Reply& r) {
+                auto body = r.ok() ? wire::decode_map(r.body) : std::nullopt;
+                auto page = body ? wire::parse_hosts(*body) : std::nullopt;
+                if (!page) {
+                    done(std::nullopt);
+                    return;
+                }
+                for (wire::Host& h : page->hosts) sofar->push_back(std::move(h));
+                if (page->more && !sofar->empty())
+                    host_page(sofar, sofar->back().id, done);
+                else
+                    done(*sofar);
+            }});
 }
 
 void Cloud::hire(const duties::Permit<duties::Renting>& permit, const std::string& request,
--- a/src/fleet/cloud.h
+++ b/src/fleet/cloud.h
@@ -43,7 +43,7 @@
         std::string body;
         Millis timeout;
         net::HttpClient::Done done;
-        net::HttpClient::Ask may;
+        net::HttpClient::Ask may = {};
     };
     void submit(std::deque<Call>& queue, Call call);
     Call next();
--- a/src/fleet/market.cpp
+++ b/src/fleet/market.cpp
@@ -31,15 +31,12 @@
 }
 
 void Market::inherit(const std::string& request, const Kind& k, std::uint32_t count) {
-    inherited_ += under_way_.count(request) == 0 ? 1 : 0;
     under_way_[request] = {k, count, State::waiting, true, true, 0};
 }
 
-void Market::forget(const std::string& request) {
-    auto it = under_way_.find(request);
-    if (it == under_way_.end()) return;
-    inherited_ -= it->second.inherited ? 1 : 0;
-    under_way_.erase(it);
+std::size_t Market::fresh() const {
+    return static_cast<std::size_t>(std::count_if(
+        under_way_.begin(), under_way_.end(), [](const auto& h) { return !h.second.inherited; }));
 }
 
 void Market::sent(const std::string& request) {
@@ -94,7 +91,7 @@
             refuse(offer, kMostBlock, now);
             break;
     }
-    forget(request);
+    under_way_.erase(it);
     return true;
 }
 
--- a/src/fleet/market.h
+++ b/src/fleet/market.h
@@ -36,13 +36,13 @@
     // One that an earlier term has on record: it may have been sent, and may be executed yet.
     void inherit(const std::string& request, const Kind& k, std::uint32_t count);
     void sent(const std::string& request);
-    void withdraw(const std::string& request) { forget(request); }  // nothing was sent
+    void withdraw(const std::string& request) { under_way_.erase(request); }  // nothing was sent
     // Is it settled by this?
     bool answered(const std::string& request, const HireReply& reply, Millis now);
     // To be asked again now.
     std::vector<std::string> due(Millis now) const;
     // Those of this term: what is inherited has been counted before.
-    std::size_t fresh() const { return under_way_.size() - inherited_; }
+    std::size_t fresh() const;
     const std::map<std::string, Hire>& under_way() const { return under_way_; }
 
   private:
@@ -51,13 +51,11 @@
         std::uint32_t refusals = 0;
     };
     static void set_state(Hire& h, State s) { h.state = s; }
-    void forget(const std::string& request);
     static void refuse(Offer& o, Millis first, Millis now);
 
     std::map<Kind, Offer> offers_;
     std::map<std::string, Hire> under_way_;
     std::uint64_t asked_ = 0;
-    std::size_t inherited_ = 0;
 };
 
 }  // namespace nickelramp::fleet
--- a/src/leadership/runner.h
+++ b/src/leadership/runner.h
@@ -13,7 +13,7 @@
     Runner(uv_loop_t* loop, state::Client& state, std::string node, std::uint64_t seed,
            Election::Hooks hooks);
 
-    void start() { election_.start(now()); }
+    void start() { election_.start(); }
     void step_down(const std::string& why, Millis rest) { election_.step_down(why, rest, now()); }
     State state() const { return election_.state(); }
     const std::string& leader() const { return election_.leader(); }
--- a/src/leadership/term.cpp
+++ b/src/leadership/term.cpp
@@ -7,8 +7,6 @@
 namespace nickelramp::leadership {
 
 namespace {
-constexpr Millis kLife = 4000;
-constexpr Millis kRenewEvery = 900;
 constexpr Millis kWatchWait = 5000;
 constexpr Millis kRetry = 500;
 }  // namespace
@@ -36,9 +34,9 @@
       node_(std::move(node)),
       hooks_(std::move(hooks)),
       random_(static_cast<std::minstd_rand::result_type>(seed)),
-      validity_(kLife) {}
+      validity_(duties::kHoldLife) {}
 
-void Election::start(Millis now) { read_seat(now); }
+void Election::start() { read_seat(); }
 
 void Election::set_state(State s) {
     if (s == state_) return;
@@ -60,13 +58,13 @@
     if (due(validity_at_)) check_validity(now);
     if (due(renew_at_)) renew(now);
     if (due(campaign_at_)) campaign(now);
-    if (due(watch_at_)) read_seat(now);
+    if (due(watch_at_)) read_seat();
     const Millis next = std::min({campaign_at_, renew_at_, validity_at_, watch_at_});
     if (next < kNever) hooks_.wake(next);
 }
 
 // Reads the seat, then watches it.
-void Election::read_seat(Millis) {
+void Election::read_seat() {
     store_.list("lead/", [this](Millis t, const state::ListReply& r) {
         if (r.outcome != state::Outcome::ok) {
             by(watch_at_, t + kRetry);
@@ -81,11 +79,11 @@
             version = i.version;
         }
         seat_seen(node, version, t);
-        watch(t);
+        watch();
     });
 }
 
-void Election::watch(Millis) {
+void Election::watch() {
     store_.watch("lead/", revision_, kWatchWait, [this](Millis t, const state::ListReply& r) {
         if (r.outcome != state::Outcome::ok) {
             by(watch_at_, t + (r.outcome == state::Outcome::expired ? 0 : kRetry));
@@ -99,7 +97,7 @@
             else
                 seat_seen(wire::text(i.value, "node").value_or(""), i.version, t);
         }
-        watch(t);
+        watch();
     });
 }
 
@@ -155,7 +153,7 @@
 
 void Election::take_hold(Millis now) {
     hold_sent_ = now;
-    store_.lease(kLife, [this](Millis t, const state::LeaseReply& r) {
+    store_.lease(duties::kHoldLife, [this](Millis t, const state::LeaseReply& r) {
         if (state_ != State::holding) return;
         if (r.outcome != state::Outcome::ok) {
             give_up(t);
@@ -188,7 +186,7 @@
         validity_.reset();
         validity_.renewed(hold_sent_);
         set_state(State::leading);
-        by(renew_at_, t + kRenewEvery / 2);
+        by(renew_at_, t + duties::kHoldRenewEvery / 2);
         check_validity(t);
         hooks_.elected(term_, term_version_);
         hooks_.confirmed(validity_.until());
@@ -197,7 +195,7 @@
 
 void Election::renew(Millis now) {
     if (state_ != State::leading && state_ != State::doubting) return;
-    by(renew_at_, now + kRenewEvery);
+    by(renew_at_, now + duties::kHoldRenewEvery);
     store_.renew(hold_, [this, now, hold = hold_](Millis t, const state::LeaseReply& r) {
         if (hold != hold_ || (state_ != State::leading && state_ != State::doubting)) return;
         if (r.outcome == state::Outcome::ok) {
--- a/src/leadership/term.h
+++ b/src/leadership/term.h
@@ -59,7 +59,7 @@
     };
     Election(Store& store, std::string node, std::uint64_t seed, Hooks hooks);
 
-    void start(Millis now);
+    void start();
     void tend(Millis now);  // what its dates bring
     // Gives the seat up, and waits that long.
     void step_down(const std::string& why, Millis rest, Millis now);
@@ -75,8 +75,8 @@
   private:
     void set_state(State s);
     void by(Millis& date, Millis at);
-    void watch(Millis now);
-    void read_seat(Millis now);
+    void watch();
+    void read_seat();
     void seat_seen(const std::string& node, std::uint64_t version, Millis now);
     void campaign(Millis now);
     void read_term();
--- a/src/peers/messages.cpp
+++ b/src/peers/messages.cpp
@@ -23,7 +23,6 @@
         w.number(l.age_ms);
     }
     w.number(m.hold);
-    w.number(m.duties);
     return {frame(static_cast<std::uint64_t>(Kind::status), w)};
 }
 
@@ -52,10 +51,7 @@
             std::string zone = r.text();
             m.lost.push_back({std::move(zone), r.number()});
         }
-        if (r.good() && !r.rest().empty()) {  // and those before helpers here
-            m.hold = r.number();
-            m.duties = r.number();
-        }
+        if (r.good() && !r.rest().empty()) m.hold = r.number();  // and those before helpers here
         if (!r.good()) return std::nullopt;
     }
     return m;
--- a/src/peers/messages.h
+++ b/src/peers/messages.h
@@ -42,8 +42,7 @@
         std::uint64_t age_ms = 0;
     };
     std::vector<Lost> lost;
-    // What a helper has: its own hold (0: none), and the duties under which it may act, a bit each.
-    std::uint64_t hold = 0, duties = 0;
+    std::uint64_t hold = 0;  // a helper's own; 0: none
 };
 
 // Leader to every controller, every second: it may answer machines in the leader's name when it
--- a/src/peers/standing.h
+++ b/src/peers/standing.h
@@ -4,8 +4,9 @@
 
 namespace nickelramp::peers {
 
-inline constexpr Millis kPeerFresh = 2'500;   // a peer heard of so lately counts
-inline constexpr Millis kRefusedFor = 1'500;  // a node refused for less says nothing yet
+inline constexpr std::uint64_t kServedLately = 8'000;  // its state service answered so lately
+inline constexpr Millis kPeerFresh = 2'500;            // a peer heard of so lately counts
+inline constexpr Millis kRefusedFor = 1'500;           // a node refused for less says nothing yet
 
 // Shows the peer that an outage is not everybody's? Only an answer that it got after this node's
 // refusals began: a peer that asks little has not noticed the outage yet and believes itself
--- a/src/sharing/lender.cpp
+++ b/src/sharing/lender.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 constexpr Millis kLease = 4'000;
-constexpr std::uint64_t kServed = 8'000;  // by the state service, so lately
 constexpr Millis kIdleLease = 8'000;
 constexpr Millis kShareEvery = 500;
 constexpr std::size_t kMostJobs = 40;  // lent with one block
@@ -34,7 +33,7 @@
 }  // namespace
 
 void Lender::peer_heard(const peers::Status& s, Millis now) {
-    peers_[s.from] = {s.incarnation, s.clock_ms, s.state_age_ms < kServed, now};
+    peers_[s.from] = {s.incarnation, s.clock_ms, s.state_age_ms < peers::kServedLately, now};
 }
 
 const char* name(LeaseState s) {
@@ -50,7 +49,8 @@
 // Lends each healthy peer a block of empty machines of one zone.
 void Lender::share_machines(Millis now) {
     const auto share = static_cast<std::size_t>(term_.options().lent_machines);
-    if (share == 0 || !term_.confirmed(now) || grants_.in_flight() || starving_ || now < next_share_)
+    if (share == 0 || !term_.confirmed(now) || grants_.in_flight() || starving_ ||
+        now < next_share_)
         return;
     next_share_ = now + kShareEvery;
     for (const auto& [name, peer] : peers_) {
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -1,12 +1,14 @@
 #include "state/client.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace nickelramp::state {
 
 namespace {
 constexpr std::size_t kMaxQueue = 2000;
 constexpr Millis kListTimeout = 4000;
+constexpr std::size_t kListPage = 500;
 constexpr Millis kBackOff = 200;
 
 Item read_item(const Json& j) {
@@ -86,6 +88,12 @@
     }
 }
 
+std::optional<std::uint64_t> stamp(const GetReply& reply) {
+    if (reply.outcome == Outcome::missing) return 0;
+    if (reply.outcome != Outcome::ok) return std::nullopt;
+    return reply.item.version;
+}
+
 Client::Client(uv_loop_t* loop, const sockaddr_in& address, const std::string& host, Limits limits)
     : loop_(loop),
       calls_(loop, address, host, 12, kMaxQueue),
@@ -177,33 +185,19 @@
 
 void Client::list_page(std::shared_ptr<ListReply> sofar, const std::string& prefix,
                        const std::string& after, Urgency urgency, ListDone done) {
-    std::string target = "/kv?under=" + prefix + "&limit=500";
-    if (!after.empty()) target += "&from=" + after;
-    submit(urgency,
-           Call{"GET", target, "", 0, kListTimeout, 0,
-                [this, sofar, prefix, urgency, done = std::move(done)](const net::Reply& r) {
-                    sofar->outcome = outcome_of(r);
-                    if (sofar->outcome != Outcome::ok) {
-                        done(std::move(*sofar));
-                        return;
-                    }
-                    auto body = wire::decode_map(r.body);
-                    if (!body || !read_items(*body, "items", sofar->items)) {
-                        sofar->outcome = Outcome::broken;
-                        done(std::move(*sofar));
-                        return;
-                    }
-                    if (sofar->revision == 0) {
-                        sofar->revision = wire::count(*body, "epoch").value_or(0);
-                    }
-                    bool more = wire::flag(*body, "truncated").value_or(false);
-                    if (more && !sofar->items.empty()) {
-                        std::string last = sofar->items.back().key;
-                        list_page(sofar, prefix, last, urgency, done);
-                    } else {
-                        done(std::move(*sofar));
-                    }
-                }});
+    page(prefix, after, kListPage, urgency,
+         [this, sofar, prefix, urgency, done = std::move(done)](ListReply r) {
+             sofar->outcome = r.outcome;
+             if (r.outcome == Outcome::ok) {
+                 std::move(r.items.begin(), r.items.end(), std::back_inserter(sofar->items));
+                 if (sofar->revision == 0) sofar->revision = r.revision;
+                 if (r.more && !sofar->items.empty()) {
+                     const std::string last = sofar->items.back().key;
+                     return list_page(sofar, prefix, last, urgency, done);
+                 }
+             }
+             done(std::move(*sofar));
+         });
 }
 
 void Client::page(const std::string& prefix, const std::string& after, std::size_t most,
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -38,6 +38,8 @@
     Outcome outcome = Outcome::unknown;
     Item item;
 };
+// The key's stamp, 0 when there is none; nothing when the reply does not tell.
+std::optional<std::uint64_t> stamp(const GetReply& reply);
 struct ListReply {
     Outcome outcome = Outcome::unknown;
     std::vector<Item> items;
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -48,7 +48,7 @@
     EXPECT_EQ(back->jobs[1].cancelled, 1u);
     EXPECT_EQ(encode(*back), encode(g));
 
-    Status s{"ramper-0", 77, 5, 9, 1, {{"job-7", 3, 300}}, 9, 1234, 1, 1, {{"b", 7000}}};
+    Status s{"ramper-0", 77, 5, 9, 1, {{"job-7", 3, 300}}, 9, 1234, 1, 1, {{"b", 7000}}, 12};
     auto status = read_status(body_of(encode(s).frame));
     ASSERT_TRUE(status);
     EXPECT_EQ(encode(*status), encode(s));
@@ -56,6 +56,18 @@
     auto news = read_news(body_of(encode(n).frame));
     ASSERT_TRUE(news);
     EXPECT_EQ(encode(*news), encode(n));
+    Charge c{"ramper-1", 3, 77, 123, 4000, {{3, 1ull << 40, 12}, {0, 9, 12}}};
+    auto charge = read_charge(body_of(encode(c).frame));
+    ASSERT_TRUE(charge);
+    EXPECT_EQ(encode(*charge), encode(c));
+    Errand e{"ramper-1", 5, 77, 0, 9, "t3f9-1", "g8", "a", 1, 50, {"i-000001"}};
+    auto errand = read_errand(body_of(encode(e).frame));
+    ASSERT_TRUE(errand);
+    EXPECT_EQ(encode(*errand), encode(e));
+    Outcome o{"ramper-2", 5, 4, {"i-000001", "i-000002"}};
+    auto outcome = read_outcome(body_of(encode(o).frame));
+    ASSERT_TRUE(outcome);
+    EXPECT_EQ(encode(*outcome), encode(o));
 }
 
 TEST(Peers, CutMessagesAreRefusedAndCutStreamsWait) {
--- a/tests/town.cpp
+++ b/tests/town.cpp
@@ -176,7 +176,7 @@
                                             [&c] { c.election->tend(c.local()); }, true);
                                     }});
     inside(c, now_ + delay(100), [this, &c] {
-        c.election->start(c.local());
+        c.election->start();
         tick(c);
         tell(c);
     });
