--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -54,7 +54,8 @@
               [this](const net::Request& q, net::Responder r) { handle(q, std::move(r)); }),
       state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings, false)),
       cloud_(loop, *net::parse_address(settings.cloud), settings.cloud, settings.cloud_rps),
-      desk_(settings, state_,
+      answers_(loop, state_, settings),
+      desk_(settings, state_, answers_,
             {[this] { return wall_ms(); }, [this] { return now(); },
              [this](const char* request, int status, Millis took) {
                  metrics_.answered(request, status, static_cast<double>(took));
@@ -113,6 +114,9 @@
                       holding_.end(why);
                       bury_timer_.after(0);
                   }),
+      serving_(std::count_if(settings.peers.begin(), settings.peers.end(),
+                             [&](const wire::Peer& p) { return p.name != settings.name; }),
+               static_cast<Millis>(uv_now(loop))),
       mesh_(loop, settings.peers,
             {[this](const peers::Status& s) { heard(s); },
              [this](const peers::Grant& g) { granted(g); },
@@ -168,23 +172,10 @@
     return tv.tv_sec * 1000 + tv.tv_usec / 1000;
 }
 
-// Able to take requests. In an outage of the state service that everybody has, all stay ready:
-// users are told to come back, and no health check has to recover afterwards. A node that alone is
-// refused steps aside.
-bool Node::ready() const {
-    if (!desk_.has_types()) return false;
-    return state_served() || !peers_served();
-}
-
-bool Node::state_served() const {
-    return state_.refused_since() < 0 || now() - state_.refused_since() < peers::kRefusedFor;
-}
-
-bool Node::peers_served() const {
-    return std::any_of(peer_news_.begin(), peer_news_.end(), [this](const auto& p) {
-        return peers::served_meanwhile(state_.refused_since(), p.second.answered_at,
-                                       p.second.heard_at, now());
-    });
+void Node::look_at_serving() {
+    std::vector<serving::PeerNews> peers;
+    for (const auto& [name, news] : peer_news_) peers.push_back(news);
+    serving_.look(desk_.has_types(), state_.health(), peers, desk_.waiting(), now());
 }
 
 void Node::handle(const net::Request& request, net::Responder responder) {
@@ -196,7 +187,10 @@
         return;
     }
     if (request.path == "/ready") {
-        bool ok = ready();
+        uv_update_time(loop_);  // what waited while this process stood still proves nothing now
+        look_at_serving();
+        state_.ping();
+        bool ok = serving_.ready();
         responder.send({ok ? 200 : 503, wire::encode({{"ready", ok}}), 0, "application/cbor"});
         return;
     }
@@ -234,9 +228,9 @@
     }
     dispatch::CheckinAnswer answer;
     if (holding_.holds(report->machine)) {
-        answer = holding_.on_checkin(*report, now());
+        answer = holding_.on_checkin(*report, request.follows, now());
     } else if (book_ != Book::running) {
-        auto token = deputises ? deputy_.answer(*report, now()) : std::nullopt;
+        auto token = deputises ? deputy_.answer(*report, request.follows, now()) : std::nullopt;
         if (!token) {
             redirect();
             return;
@@ -246,7 +240,7 @@
         // Whoever cannot know of a cancellation must let the leases run out in time.
         answer.status = 503;
     } else {
-        answer = dispatcher_->on_checkin(*report, now());
+        answer = dispatcher_->on_checkin(*report, request.follows, now());
     }
     if (answer.status == 200) {
         responder.send(
@@ -439,6 +433,8 @@
         tell_at_ = now() + kTellEvery;
         tell_peers();
     }
+    look_at_serving();
+    answers_.tend();
     tend_holding();
     office_.tend(now());
     if (book_ != Book::running) return;
@@ -458,8 +454,8 @@
         prune_at_ = now() + kPruneEvery;
         prune_workers();
     }
-    if (!state_served() && peers_served() && election_.state() == leadership::State::doubting) {
-        election_.step_down("the state service refuses this node alone", kRest);
+    if (serving_.others_served() && election_.state() == leadership::State::doubting) {
+        election_.step_down("the state service does not serve this node alone", kRest);
     }
 }
 
@@ -550,10 +546,11 @@
     wire::Json out = {{"node", settings_.name},
                       {"leader", election_.leader()},
                       {"leadership", leadership::name(election_.state())},
-                      {"ready", ready()},
-                      {"state_service", !state_served()                          ? "refuses"
-                                        : now() - state_.last_answer() < kSilent ? "answers"
-                                                                                 : "is silent"}};
+                      {"ready", serving_.ready()},
+                      {"serving", serving::name(serving_.state())},
+                      {"state_service", serving_.state() == serving::State::refused ? "refuses"
+                                        : now() - state_.last_answer() < kSilent    ? "answers"
+                                                                                    : "is silent"}};
     if (book_ == Book::running) out["book"] = dispatcher_->overview(now());
     out["duties"] = office_.overview();
     return out;
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -17,6 +17,7 @@
 #include "leadership/runner.h"
 #include "net/http_server.h"
 #include "peers/mesh.h"
+#include "serving/serving.h"
 #include "state/client.h"
 #include "wire/settings.h"
 
@@ -44,7 +45,7 @@
 
     void handle(const net::Request& request, net::Responder responder);
     void checkin(const net::Request& request, const net::Responder& responder);
-    bool ready() const;
+    void look_at_serving();
 
     void elected(std::uint64_t term, std::uint64_t version);
     void load();
@@ -66,10 +67,8 @@
     void granted(const peers::Grant& grant);
     void tell_peers();
     void tend_holding();
-    bool peers_served() const;
     wire::Json status() const;
     void gather();
-    bool state_served() const;
     void send_grants();
     void send_leaves();
     void saw_cancellations(Millis until);
@@ -128,6 +127,7 @@
     net::HttpServer server_;
     state::Client state_;
     fleet::Cloud cloud_;
+    jobs::Confirmed answers_;
     jobs::Desk desk_;
     leadership::Runner election_;
     net::Timer tick_timer_, hosts_timer_, types_timer_, load_timer_, close_timer_, watch_timer_;
@@ -145,12 +145,9 @@
     duties::Gate<duties::Deciding> leading_, placing_;     // as leader, as holder
     duties::Gate<duties::Answering> answering_, tending_;  // likewise
     Box leader_box_, holder_box_;
+    serving::Serving serving_;
     peers::Mesh mesh_;
-    struct PeerNews {
-        Millis heard_at = 0;
-        Millis answered_at = 0;  // by the state service
-    };
-    std::map<std::string, PeerNews> peer_news_;
+    std::map<std::string, serving::PeerNews> peer_news_;
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>
         shown_;  // done, running: for display
     Millis tell_at_ = 0;
--- a/src/book/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -142,7 +142,7 @@
 void Book::sent(Attempt& a, const Machine& m, Millis now) {
     set_attempt_state(a, AttemptState::starting, now);
     a.token = m.token;
-    a.session = m.session;
+    a.session = m.contact.session();
     a.answered_seq = 0;
 }
 
--- a/src/book/book.h
+++ b/src/book/book.h
@@ -66,13 +66,14 @@
     const placing::Openings& openings() const { return openings_; }
     const std::set<Index>& coming() const { return coming_; }        // booting or joining
     const std::set<Index>& returning() const { return returning_; }  // to be given back
-    const std::set<Index>& silent() const { return silent_; }
+    const std::set<Index>& silent() const { return silent_; }        // silent or deaf
     const std::vector<std::uint32_t>& machines_in() const { return machines_in_; }  // by zone
     const std::vector<std::string>& troubled() const { return troubled_; }  // a holder's machines
 
     // Can a report without the attempt be believed? Not while a start of it may still arrive.
     static bool settled(const Attempt& a, const Machine& m) {
-        return m.seen_token > a.token || a.answered_seq != 0 || m.session > a.session;
+        return m.contact.token() > a.token || a.answered_seq != 0 ||
+               m.contact.newest().session > a.session;
     }
 
     // Has anything changed that the schedule depends on?
@@ -128,7 +129,14 @@
 
     // --- machines
     void set_machine_state(Machine& m, MachineState s);
-    void set_silent(Machine& m, bool silent);
+    void set_hearing(Machine& m, workers::Hearing h);
+    void up(Machine& m, Millis now);
+    // Known from reports of unknown age only: nobody counts on it.
+    void set_strange(Machine& m, bool strange);
+    std::size_t strangers() const { return strangers_; }
+    // This book answers for it from here on, under that token.
+    void charge(Machine& m, std::uint64_t token, Millis reached);
+    void raise_token(Machine& m, std::uint64_t token, Millis now);
     // In a zone that goes dark nothing is placed on machines that are not heard again.
     void set_shaded(Machine& m, bool shaded);
     void reserve(Machine& m, Job& j, Millis until);
@@ -176,6 +184,7 @@
     placing::Openings openings_;
     Agenda machine_agenda_;
     std::set<Index> coming_, returning_, silent_;
+    std::size_t strangers_ = 0;
     std::vector<std::uint32_t> machines_in_;
     std::vector<std::string> troubled_;
 };
--- a/src/book/machines.cpp
+++ b/src/book/machines.cpp
@@ -27,7 +27,7 @@
     if (Machine* known = roster_.find(name)) return known;
     Machine* m = roster_.add(name);
     m->hired_at = now;
-    m->heard_at = now;
+    m->contact.begin(0, now);
     m->idle_since = now;
     coming_.insert(m->index);
     machine_agenda_.by(m->index, now);
@@ -69,17 +69,21 @@
         openings_.remove(m.index);
     bool up = m.up_at != 0 && m.zone != kNone && m.state != MachineState::booting &&
               m.state != MachineState::lent && m.state != MachineState::gone;
-    if (!up) set_silent(m, false);
+    if (!up) set_hearing(m, workers::Hearing::sound);
     if (up != m.up) listener_.machines_counted(m.zone, up ? 1 : -1, 0);
     m.up.own() = up;
     if (m.type != kNone) listener_.machine_changed(m);
 }
 
-void Book::set_silent(Machine& m, bool silent) {
-    if (silent == m.silent) return;
-    m.silent.own() = silent;
-    listener_.machines_counted(m.zone, 0, silent ? 1 : -1);
-    if (silent)
+void Book::set_hearing(Machine& m, workers::Hearing h) {
+    using workers::Hearing;
+    if (h == m.hearing) return;
+    if (h == Hearing::deaf) spdlog::info("machine {} is heard, but nothing reaches it", m.name);
+    const bool was = m.hearing != Hearing::sound, is = h != Hearing::sound;
+    m.hearing.own() = h;
+    if (was == is) return;
+    listener_.machines_counted(m.zone, 0, is ? 1 : -1);
+    if (is)
         silent_.insert(m.index);
     else
         silent_.erase(m.index);
@@ -87,6 +91,31 @@
     touch();
 }
 
+void Book::up(Machine& m, Millis now) {
+    if (m.up_at != 0) return;
+    m.up_at = now;
+    refresh(m);
+}
+
+void Book::set_strange(Machine& m, bool strange) {
+    if (m.strange == strange) return;
+    m.strange.own() = strange;
+    m.late = strange;
+    strangers_ += strange ? 1 : -1;
+}
+
+void Book::charge(Machine& m, std::uint64_t token, Millis reached) {
+    m.token = token;
+    m.contact.begin(token, reached);
+    m.wants_confirm = true;
+}
+
+void Book::raise_token(Machine& m, std::uint64_t token, Millis now) {
+    m.token = token;
+    m.contact.raise(token, now);
+    m.wants_confirm = true;
+}
+
 void Book::set_shaded(Machine& m, bool shaded) {
     if (shaded == m.shaded) return;
     m.shaded.own() = shaded;
@@ -128,6 +157,7 @@
                  kind_of(m), m.attempts.size(), static_cast<double>(now - m.hired_at) / 1000.0);
     set_machine_state(m, MachineState::gone);
     drop_reservation(m);
+    set_strange(m, false);
     machine_agenda_.forget(m.index);
     while (!m.attempts.empty()) proven_gone(*m.attempts.back(), now);
     if (m.type != kNone) --machines_in_[m.zone];
--- a/src/book/term.h
+++ b/src/book/term.h
@@ -54,9 +54,11 @@
         outbox_.deposed(why);
     }
 
-    // Has the machine seen a later term's token?
-    bool outranked(const wire::Report& r) {
+    // Has the machine seen a later term's token? While a leader's hold certainly lasts there is no
+    // later term: then the report contradicts itself, and ends nothing.
+    bool outranked(const wire::Report& r, Millis now) {
         if (blocks::term_of(r.token) <= info_.number) return false;
+        if (!holder() && confirmed(now)) return false;
         end("machine " + r.machine + " has seen a later term's token");
         return true;
     }
--- a/src/deputy/deputy.cpp
+++ b/src/deputy/deputy.cpp
@@ -15,6 +15,7 @@
 constexpr Millis kStateSilent = 6'500;
 // Longer cuts are rare, and so much longer must be waited before a lease is known to be over.
 constexpr double kAnswerLeases = 2;
+constexpr std::size_t kMostContacts = 20'000;
 }  // namespace
 
 Millis answer_bound(const wire::Settings& s) {
@@ -49,6 +50,7 @@
                      leave_.term);
     } else if (state_ == State::answering) {
         spdlog::info("answering machines no more");
+        contacts_.clear();
     }
     state_ = s;
 }
@@ -72,7 +74,7 @@
     set_state(alone ? State::answering : State::standing);
 }
 
-std::optional<std::uint64_t> Deputy::answer(const wire::Report& r, Millis now) {
+std::optional<std::uint64_t> Deputy::answer(const wire::Report& r, bool follows, Millis now) {
     if (state_ != State::answering) return std::nullopt;
     // Under its own token, which no worker drops. Not where somebody else has been in charge, or
     // may have been since the leave was given.
@@ -82,6 +84,19 @@
     for (std::uint64_t lent : leave_.lent) {
         if (grant == lent >> blocks::kGrantShift) return std::nullopt;
     }
+    // The leader counts on a lease after the last of these answers: none goes to a copy, or to a
+    // worker that does not hear them.
+    auto it = contacts_.find(r.machine);
+    if (it == contacts_.end()) {
+        if (contacts_.size() >= kMostContacts) return std::nullopt;
+        it = contacts_.emplace(r.machine, workers::Contact{}).first;
+        it->second.begin(1, now);
+    }
+    workers::Contact& contact = it->second;
+    const Millis lease = seconds(settings_.lease_s);
+    if (contact.reported(r, follows, now) == workers::Proof::copy) return std::nullopt;
+    if (!contact.worth_an_answer(lease, now)) return std::nullopt;
+    contact.answer(lease, now);
     answered_at_ = now;
     return r.token;
 }
--- a/src/deputy/deputy.h
+++ b/src/deputy/deputy.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "peers/messages.h"
 #include "wire/messages.h"
 #include "wire/settings.h"
+#include "workers/contact.h"
 
 namespace nickelramp::deputy {
 
@@ -40,7 +42,7 @@
     // When the leader and the state service were last heard.
     void look(Millis leader_at, Millis state_at, Millis now);
     // The token to answer the report with; nothing when it may not be answered.
-    std::optional<std::uint64_t> answer(const wire::Report& report, Millis now);
+    std::optional<std::uint64_t> answer(const wire::Report& report, bool follows, Millis now);
     // What the leader must know of it; into the status that goes out.
     void tell(peers::Status& s, Millis now) const;
     State state() const { return state_; }
@@ -53,6 +55,7 @@
     peers::Leave leave_;
     Millis view_ = 0;  // every cancellation up to then was known to the leader
     Millis answered_at_ = 0;
+    std::unordered_map<std::string, workers::Contact> contacts_;  // while it answers
 };
 
 // The leader's side: who may have answered in its name, and until when.
--- a/src/dispatch/courier.cpp
+++ b/src/dispatch/courier.cpp
@@ -90,7 +90,7 @@
         book_.remind(m, now + kRetryUnknown);
         return;
     }
-    if (m.state == MachineState::booting || m.state == MachineState::lent || m.token == 0) return;
+    if (m.state == MachineState::lent || m.token == 0) return;
     std::vector<Command> commands;
     for (Attempt* a : m.attempts) {
         if (commands.size() >= kBatch) break;
@@ -110,9 +110,11 @@
     if (commands.empty() && !m.wants_confirm) return;
     m.wants_confirm = false;
     m.direct_in_flight = true;
+    m.asked_at = m.contact.asked();
+    m.asked_since = now;
     ++directs_;
     term_.outbox().direct(
-        m.name, m.address, m.token, std::max<std::uint64_t>(1, m.session), commands,
+        m.name, m.address, m.token, m.contact.session(), commands,
         term_.guarded([this, name = m.name, token = m.token](Millis t, const DirectReply& reply) {
             on_direct(name, token, reply, t);
         }));
@@ -126,7 +128,7 @@
     m->direct_in_flight = false;
     if (reply.delivery == Delivery::answered && reply.report && reply.report->machine == name) {
         const wire::Report& r = *reply.report;
-        if (term_.outranked(r)) return;
+        if (term_.outranked(r, now)) return;
         m->direct_failures = 0;
         for (Attempt* a : m->attempts) {
             if (a->state == AttemptState::starting && a->token == token && a->answered_seq == 0) {
@@ -134,9 +136,11 @@
                 if (!reply.executed) a->answered_seq = r.seq - 1;
             }
         }
-        listener_.reported(*m, r, now);
+        listener_.answered(*m, r, now);
         if (!m->confirmed()) {
             m->wants_confirm = true;  // its session was not the one we thought, or the token is new
+            // A token above any given out: nothing that is sent to it is executed.
+            if (r.token > m->token) m->retry_direct_at = now + kRetryDark;
             poke(*m);
         }
     } else {
@@ -149,8 +153,10 @@
         }
         if (lost) {
             // Commands may be under way. A higher token makes them harmless once it is confirmed.
-            raise_token(*m);
+            raise_token(*m, now);
         }
+        // Heard from afar only, perhaps long gone: the next report asks again.
+        if (m->up_at == 0 && m->direct_failures > 1) m->wants_confirm = false;
         // Hundreds that cannot be reached are not probed as one is.
         m->retry_direct_at = now + (silence_.shut(m->zone) ? kRetryDark
                                     : lost                 ? kRetryUnknown
@@ -161,11 +167,10 @@
     turn_.settle(now);
 }
 
-void Courier::raise_token(Machine& m) {
+void Courier::raise_token(Machine& m, Millis now) {
     constexpr std::uint64_t kMost = (std::uint64_t{1} << blocks::kGrantShift) - 1;
     if ((m.token & kMost) == kMost) return;  // thousands of lost messages: let silence decide
-    ++m.token;
-    m.wants_confirm = true;
+    book_.raise_token(m, m.token + 1, now);
 }
 
 std::vector<Command> Courier::commands_for(Machine& m, const wire::Report& r) {
--- a/src/dispatch/courier.h
+++ b/src/dispatch/courier.h
@@ -16,7 +16,7 @@
       public:
         virtual ~Listener() = default;
         // A direct message brought a report back.
-        virtual void reported(workers::Machine& m, const wire::Report& r, Millis now) = 0;
+        virtual void answered(workers::Machine& m, const wire::Report& r, Millis now) = 0;
     };
 
     Courier(book::Term& term, book::Book& book, book::Turn& turn, const domains::Silence& silence,
@@ -27,6 +27,8 @@
     void flush(Millis now);
     // What the answer to its report says.
     std::vector<wire::Command> commands_for(workers::Machine& m, const wire::Report& r);
+    // What is under way to it is dead once it shows the token that it gets now.
+    void raise_token(workers::Machine& m, Millis now);
 
   private:
     void stray_commands(workers::Machine& m, const wire::Report& r,
@@ -35,7 +37,6 @@
     void send(workers::Machine& m, Millis now);
     void on_direct(const std::string& name, std::uint64_t token, const book::DirectReply& reply,
                    Millis now);
-    void raise_token(workers::Machine& m);
 
     book::Term& term_;
     book::Book& book_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -34,24 +34,19 @@
       inherited_token_(blocks::term_token(term_.info().number) - 1) {}
 
 // A machine that somebody has answered before this book: it is asked what is on it.
-Dispatcher::Machine& Dispatcher::take_over(const blocks::Member& b) {
+void Dispatcher::take_over(const blocks::Member& b, std::uint64_t token) {
     Machine* m = book_.adopt(b.name, began_);
     book_.identify(*m, b.address, b.type, b.zone, b.spot);
     m->up_at = began_;
-    m->heard_at = silence_.heard_by(m->zone, began_);
     m->lease_until = book_.inherited_lease_until();
-    m->wants_confirm = true;
+    book_.charge(*m, token, silence_.heard_by(m->zone, began_));
     book_.set_machine_state(*m, MachineState::joining);
-    return *m;
 }
 
 void Dispatcher::load_block(std::uint32_t n, blocks::Block block) {
-    for (const blocks::Member& b : block.members) take_over(b);
     blocks::Ledger& ledger = grants_.ledger();
     ledger.load(n, std::move(block));
-    for (const blocks::Member& b : ledger.block(n).members) {
-        book_.machine(b.name)->token = ledger.block(n).token;
-    }
+    for (const blocks::Member& b : ledger.block(n).members) take_over(b, ledger.block(n).token);
 }
 
 void Dispatcher::load_intents(const std::string& key, const wire::Json& value,
@@ -106,8 +101,8 @@
         {blocks::block_key(static_cast<std::uint32_t>(grant.block)), grant.block_version});
     inherited_token_ = grant.token - 1;
     for (const blocks::Member& b : grant.machines) {
-        Machine& m = take_over(b);
-        m.token = grant.token;
+        take_over(b, grant.token);
+        Machine& m = *book_.machine(b.name);
         m.granted = true;
         courier_.poke(m);
     }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -82,7 +82,8 @@
     void confirm_until(Millis until) { term_.confirm_until(until); }
     void set_fence(duties::Duty d, std::uint64_t fence) { term_.set_fence(d, fence); }
 
-    CheckinAnswer on_checkin(const wire::Report& report, Millis now);
+    // `follows`: on a connection over which the worker has had an answer of this controller's.
+    CheckinAnswer on_checkin(const wire::Report& report, bool follows, Millis now);
     // A whole list, asked for at that time.
     void on_hosts(const std::vector<wire::Host>& hosts, Millis asked, Millis now);
     void tick(Millis now);
@@ -161,10 +162,14 @@
     void on_record(duties::Duty d, const std::vector<std::string>& names, Millis now) override {
         supply_.on_record(d, names, now);
     }
-    void reported(Machine& m, const wire::Report& r, Millis now) override { absorb(m, r, now); }
+    void answered(Machine& m, const wire::Report& r, Millis now) override;
 
     // reports.cpp
-    void absorb(Machine& m, const wire::Report& r, Millis now);
+    void absorb(Machine& m, const wire::Report& r, bool anew, Millis now);
+    void reached(Machine& m, Millis now);
+    void ask(Machine& m, Millis now);
+    CheckinAnswer contradicts(Machine& m, workers::Proof proof, Millis now);
+    Millis silent_after() const;
     void join(Machine& m, Millis now);
 
     // watch.cpp
@@ -174,7 +179,7 @@
     void watch_idle(Machine& m, Millis now);
 
     // dispatcher.cpp
-    Machine& take_over(const blocks::Member& b);
+    void take_over(const blocks::Member& b, std::uint64_t token);
     void pass(Millis now);
 
     // overview.cpp
--- a/src/dispatch/holding.cpp
+++ b/src/dispatch/holding.cpp
@@ -108,10 +108,10 @@
                        [&](const blocks::Member& m) { return m.name == machine; });
 }
 
-CheckinAnswer Holding::on_checkin(const wire::Report& report, Millis now) {
+CheckinAnswer Holding::on_checkin(const wire::Report& report, bool follows, Millis now) {
     // Whoever cannot know of a cancellation must let the leases run out in time.
     if (now > answer_until()) return {503, "", 0, {}};
-    return book_->on_checkin(report, now);
+    return book_->on_checkin(report, follows, now);
 }
 
 std::optional<peers::News> Holding::news() const {
--- a/src/dispatch/holding.h
+++ b/src/dispatch/holding.h
@@ -30,7 +30,7 @@
     bool buries() const { return !ended_.empty(); }
 
     bool holds(const std::string& machine) const;
-    CheckinAnswer on_checkin(const wire::Report& report, Millis now);
+    CheckinAnswer on_checkin(const wire::Report& report, bool follows, Millis now);
     // For the leader, every second; nothing when nothing is held.
     std::optional<peers::News> news() const;
     const std::string& leader() const { return grant_.from; }
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -8,20 +8,37 @@
 namespace nickelramp::dispatch {
 
 using wire::TaskPhase;
+using workers::Hearing;
+using workers::Proof;
 
-void Dispatcher::absorb(Machine& m, const wire::Report& r, Millis now) {
-    if (std::tie(r.session, r.seq) <= std::tie(m.session, m.seq)) return;  // an older message
-    book_.identify(m, r.address, r.type, r.zone, r.spot);
-    bool new_session = m.session != 0 && r.session > m.session;
-    m.session = r.session;
-    m.seq = r.seq;
-    m.seen_token = r.token;
-    m.heard_at = now;
-    if (m.up_at == 0) m.up_at = now;
-    if (m.silent || m.shaded) m.retry_direct_at = now;  // it can be reached again
-    book_.set_silent(m, false);
+namespace {
+constexpr std::size_t kMostStrangers = 256;  // machines known from reports of unknown age only
+constexpr Millis kCopyDoubt = 1'000;  // a copy from a worker that was reached since is just that
+}  // namespace
+
+void Dispatcher::answered(Machine& m, const wire::Report& r, Millis now) {
+    const Proof proof = m.contact.answered(r, m.asked_at, m.asked_since, now);
+    reached(m, now);
+    if (workers::proves(proof)) absorb(m, r, proof == Proof::anew, now);
+}
+
+// Something of ours has arrived there.
+void Dispatcher::reached(Machine& m, Millis now) {
+    book_.set_hearing(m, m.contact.hearing(silent_after(), now));
     book_.set_shaded(m, false);
-    if (new_session) spdlog::info("machine {} lost its lease and its tasks", m.name);
+}
+
+// What the message says is true of a moment after all that was known.
+void Dispatcher::absorb(Machine& m, const wire::Report& r, bool anew, Millis now) {
+    book_.identify(m, r.address, r.type, r.zone, r.spot);
+    book_.set_strange(m, false);
+    book_.up(m, now);
+    if (anew) {
+        // Nothing of before is there. What is still under way to it may be executed, until it has
+        // seen a higher token.
+        spdlog::info("machine {} has begun anew with {} tasks on it", m.name, m.attempts.size());
+        courier_.raise_token(m, now);
+    }
 
     std::vector<Attempt*> unseen = m.attempts;
     for (const wire::TaskReport& t : r.tasks) {
@@ -38,7 +55,7 @@
     for (Attempt* a : unseen) {
         if (std::find(m.attempts.begin(), m.attempts.end(), a) == m.attempts.end()) continue;
         if (a->state == AttemptState::recording || a->state == AttemptState::recorded) continue;
-        if (!book::Book::settled(*a, m) || r.seq <= a->answered_seq) continue;
+        if (!book::Book::settled(*a, m) || (!anew && r.seq <= a->answered_seq)) continue;
         book_.proven_gone(*a, now);
     }
     if (r.notice_s) {
@@ -59,9 +76,18 @@
     courier_.poke(m);  // what waited for its token or for a place to come free
 }
 
+// A message that proves too little is a reason to ask.
+void Dispatcher::ask(Machine& m, Millis now) {
+    m.hinted_at = now;
+    m.wants_confirm = true;
+    m.retry_direct_at = std::min(m.retry_direct_at, now);
+    courier_.poke(m);
+}
+
 // A machine may be given tasks once its grant is recorded and it has confirmed the token.
 void Dispatcher::join(Machine& m, Millis now) {
-    if (m.state == MachineState::booting && m.up_at != 0) {
+    // One that is expected may be taken at its word: it is asked before it gets anything.
+    if (m.state == MachineState::booting && !m.strange && m.type != kNone) {
         book_.set_machine_state(m, MachineState::joining);
         m.idle_since = now;
         spdlog::info("machine {} ({}) is up after {:.1f} s", m.name, book_.kind_of(m),
@@ -70,10 +96,11 @@
     if (m.state == MachineState::joining && m.type != kNone && !m.granted) {
         grants_.ledger().add(
             {m.name, m.address, book_.types()[m.type].name, book_.zones().name(m.zone), m.spot});
-        m.token = std::max(m.token, grants_.ledger().token_of(m.name));
+        const std::uint64_t granted = grants_.ledger().token_of(m.name);
+        if (granted > m.token) book_.raise_token(m, granted, now);
     }
     if (m.state == MachineState::joining && m.granted && !m.unread) {
-        if (m.confirmed()) {
+        if (m.confirmed() && m.up_at != 0) {
             book_.set_machine_state(m, MachineState::ready);
         } else {
             m.wants_confirm = true;
@@ -82,30 +109,65 @@
     }
 }
 
-CheckinAnswer Dispatcher::on_checkin(const wire::Report& r, Millis now) {
-    if (term_.outranked(r)) return {421, "", 0, {}};
+CheckinAnswer Dispatcher::on_checkin(const wire::Report& r, bool follows, Millis now) {
+    if (term_.outranked(r, now)) return {421, "", 0, {}};
     if (term_.over() || !started_ || book_.buried(r.machine)) return {503, "", 0, {}};
-    if (term_.holder() && book_.machine(r.machine) == nullptr) return {421, "", 0, {}};
-    Machine* m = book_.adopt(r.machine, now);
+    Machine* m = book_.machine(r.machine);
+    if (m == nullptr) {
+        if (term_.holder()) return {421, "", 0, {}};
+        if (book_.strangers() >= kMostStrangers) return {503, "", 0, {}};
+        // It may be long gone: nobody counts on it before it has answered.
+        m = book_.adopt(r.machine, now);
+        book_.set_strange(*m, true);
+        book_.identify(*m, r.address, r.type, r.zone, r.spot);
+    }
     if (m->state == MachineState::lent) {
         std::string holder = lender_.holder_of(m->index);
         if (!holder.empty()) return {421, holder, 0, {}};
         return {503, "", 0, {}};  // nobody's for a moment
     }
-    absorb(*m, r, now);
-    CheckinAnswer out;
-    if (m->token == 0) {
-        // Not granted yet: it may hold an earlier term's token, so it gets one of this term's.
-        m->token = blocks::term_token(term_.info().number);
+    // Not granted yet: it may hold an earlier term's token, so it gets one of this term's.
+    if (m->token == 0) book_.charge(*m, blocks::term_token(term_.info().number), now);
+    if (m->address.empty()) book_.identify(*m, r.address, r.type, r.zone, r.spot);
+    const Millis report_every = seconds(term_.settings().report_s);
+    const Millis reached_before = m->contact.reached_at();
+    const Proof proof = m->contact.reported(r, follows, now);
+    const bool hears = m->contact.reached_at() > reached_before;
+    if (hears) reached(*m, now);
+    if (workers::proves(proof)) absorb(*m, r, false, now);
+    if (proof == Proof::hint) join(*m, now);
+    const bool doubtful = m->hearing != Hearing::sound || m->shaded;
+    if (proof == Proof::copy) {
+        // Copies come in floods: once in the time between two reports.
+        if (now - m->contact.reached_at() > kCopyDoubt && now - m->hinted_at > report_every)
+            ask(*m, now);
+    } else if (proof == Proof::hint || (doubtful && !hears)) {
+        ask(*m, now);
     }
-    if (m->token < r.token) return {term_.holder() ? 421 : 503, "", 0, {}};
-    m->lease_until =
-        std::max(m->lease_until, now + longer(seconds(term_.settings().lease_s)) + 500);
+    courier_.flush(now);
+    if (m->token < r.token) return contradicts(*m, proof, now);
+    // A copy's answer goes nowhere. One that the worker cannot hear would keep its lease alive in
+    // this book alone; where nothing is on the machine that does no harm.
+    const Millis lease = seconds(term_.settings().lease_s);
+    if (proof == Proof::copy || (!m->attempts.empty() && !m->contact.worth_an_answer(lease, now)))
+        return {503, "", 0, {}};
+    m->lease_until = std::max(m->lease_until, now + longer(lease) + 500);
+    m->contact.answer(lease, now);
+    CheckinAnswer out;
     out.token = m->token;
-    out.commands = courier_.commands_for(*m, r);
+    if (workers::proves(proof)) out.commands = courier_.commands_for(*m, r);
     courier_.flush(now);
     settle(now);
     return out;
 }
 
+// Its token is above any that this book has given out for it.
+CheckinAnswer Dispatcher::contradicts(Machine& m, Proof proof, Millis now) {
+    if (term_.holder()) return {421, "", 0, {}};
+    // Nobody's commands would be executed there any more.
+    if (workers::proves(proof)) book_.give_back(m, "shows a token that was never given out");
+    ask(m, now);
+    return {503, "", 0, {}};
+}
+
 }  // namespace nickelramp::dispatch
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -14,6 +14,11 @@
 constexpr double kHopeless = 4.0;  // boots beyond so many boot times are given back
 }  // namespace
 
+// A report is at most a quarter late.
+Millis Dispatcher::silent_after() const {
+    return seconds(1.25 * term_.settings().report_s) + kReportSlack;
+}
+
 void Dispatcher::watch_machines(Millis now) {
     for (Index i : book_.due_machines(now)) {
         if (Machine* m = book_.machine_at(i)) watch_machine(*m, now);
@@ -23,11 +28,11 @@
 
 // What time does to a machine: it is late, silent, idle, or its lease is over.
 void Dispatcher::watch_machine(Machine& m, Millis now) {
-    // A report is at most a quarter late. Two probes that fail after that tell enough: the cloud's
-    // answer to the return is what proves the machine gone.
-    const Millis probe_after = seconds(1.25 * term_.settings().report_s) + kReportSlack;
+    // Two probes that fail after that tell enough: the cloud's answer to the return is what proves
+    // the machine gone. Reports that arrive meanwhile do not show that it can be reached.
+    const Millis probe_after = silent_after();
     const Millis lost_after = probe_after + kProbing;
-    const Millis silent = now - m.heard_at;
+    const Millis silent = now - m.contact.reached_at();
     bool well = m.usable() && !m.empty() && silent < probe_after - kWatchBusy;
     book_.remind(m, now + (well ? kWatchBusy : kWatchOther));
     if (m.state == MachineState::lent) return;
@@ -39,7 +44,7 @@
     }
     // Counted before any is given up: that many fall silent together must be seen before the first
     // is returned.
-    if (m.up && silent > probe_after) book_.set_silent(m, true);
+    if (m.up) book_.set_hearing(m, m.contact.hearing(probe_after, now));
     if (silent > probe_after && !m.direct_in_flight && now >= m.retry_direct_at &&
         m.state != MachineState::gone) {
         m.wants_confirm = true;
--- a/src/domains/silence.cpp
+++ b/src/domains/silence.cpp
@@ -70,7 +70,8 @@
         m.zone != kNone &&
         std::any_of(term_.settings().peers.begin(), term_.settings().peers.end(),
                     [&](const auto& p) { return p.zone == book_.zones().name(m.zone); });
-    return deputy ? deputies_.until(m.lease_until) : m.heard_at + seconds(term_.settings().lease_s);
+    return deputy ? deputies_.until(m.lease_until)
+                  : m.contact.reached_at() + seconds(term_.settings().lease_s);
 }
 
 // Replicas are on it, and each of them could be started in another zone. One that could not would
--- /dev/null
+++ b/src/jobs/answers.cpp
@@ -0,0 +1,186 @@
+#include "jobs/answers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "jobs/job.h"
+
+namespace nickelramp::jobs {
+
+namespace {
+constexpr const char* kPrefix = "job/";
+constexpr std::size_t kPrefixLength = 4;
+constexpr std::size_t kGeneration = 10'000;  // records in each of the two halves
+constexpr Millis kKeepUp = 5'000;            // read at least so often, or too much has changed
+}  // namespace
+
+std::optional<Told> read_told(const wire::Json& record, std::uint64_t version) {
+    if (!record.is_object()) return std::nullopt;
+    Told t;
+    t.version = version;
+    t.tasks = wire::count(record, "tasks").value_or(0);
+    const auto final = wire::text(record, "final");
+    for (auto s : {wire::JobStatus::done, wire::JobStatus::cancelled}) {
+        if (final == wire::final_name(s)) t.final = s;
+    }
+    return t;
+}
+
+const char* name(AnswersState s) {
+    switch (s) {
+        case AnswersState::idle:
+            return "idle";
+        case AnswersState::pausing:
+            return "pausing";
+        case AnswersState::reading:
+            return "reading";
+        case AnswersState::starting:
+            return "starting";
+    }
+    return "?";
+}
+
+Answers::Answers(Records& records, Millis gap, std::function<void(Millis)> wake)
+    : records_(records), gap_(gap), wake_(std::move(wake)) {}
+
+void Answers::set_state(AnswersState s) { state_ = s; }
+
+const Told* Answers::find(const std::string& id) const {
+    for (const auto* half : {&young_, &old_}) {
+        auto it = half->find(id);
+        if (it != half->end()) return &it->second;
+    }
+    return nullptr;
+}
+
+void Answers::keep(const std::string& id, const Told& told) {
+    // A lookup may have been faster than the read of the change before it.
+    if (const Told* known = find(id); known != nullptr && known->version > told.version) return;
+    if (young_.size() >= kGeneration) {
+        old_ = std::move(young_);
+        young_.clear();
+    }
+    young_[id] = told;
+}
+
+void Answers::ask(const std::string& id, Millis patience, Done done, Millis now) {
+    waiting_.push_back({id, now + patience, std::move(done)});
+    if (state_ == AnswersState::idle) go_on(now);
+}
+
+// Reads for those that wait, when the gap since the last read is over.
+void Answers::go_on(Millis now) {
+    if (waiting_.empty() && (revision_ == 0 || now < read_at_ + kKeepUp)) {
+        set_state(AnswersState::idle);
+        return;
+    }
+    if (now < read_at_ + gap_) {
+        set_state(AnswersState::pausing);
+        wake_(read_at_ + gap_);
+        return;
+    }
+    read_at_ = now;
+    std::move(waiting_.begin(), waiting_.end(), std::back_inserter(served_));
+    waiting_.clear();
+    if (revision_ == 0)
+        begin(now);
+    else
+        read(now);
+}
+
+void Answers::read(Millis) {
+    set_state(AnswersState::reading);
+    records_.changes(kPrefix, revision_,
+                     [this](Millis t, const state::ListReply& r) { on_changes(r, t); });
+}
+
+// Nothing that is kept is true of a known revision. What is asked meanwhile is looked up one by
+// one.
+void Answers::begin(Millis now) {
+    set_state(AnswersState::starting);
+    ++generation_;
+    young_.clear();
+    old_.clear();
+    auto served = std::exchange(served_, {});
+    std::unordered_map<std::string, std::vector<Question>> by_id;
+    for (Question& q : served) by_id[q.id].push_back(std::move(q));
+    for (auto& [id, questions] : by_id) look_up(id, std::move(questions), now);
+    records_.revision([this](Millis t, const state::ListReply& r) {
+        if (r.outcome == state::Outcome::ok) revision_ = r.revision;
+        go_on(t);
+    });
+}
+
+void Answers::on_changes(const state::ListReply& r, Millis now) {
+    auto served = std::exchange(served_, {});
+    if (r.outcome != state::Outcome::ok) {
+        if (r.outcome == state::Outcome::expired) revision_ = 0;
+        // They came before this read and may be served by the next.
+        for (Question& q : served) {
+            if (now < q.until)
+                waiting_.push_back(std::move(q));
+            else
+                q.done(Found::unknown, {});
+        }
+        go_on(now);
+        return;
+    }
+    for (const state::Item& i : r.items) {
+        if (i.deleted || i.key.size() <= kPrefixLength) continue;
+        if (auto told = read_told(i.value, i.version)) keep(i.key.substr(kPrefixLength), *told);
+    }
+    revision_ = std::max(revision_, r.revision);
+    std::unordered_map<std::string, std::vector<Question>> unknown;
+    for (Question& q : served) {
+        if (const Told* told = find(q.id))
+            q.done(Found::told, Told(*told));
+        else
+            unknown[q.id].push_back(std::move(q));
+    }
+    for (auto& [id, questions] : unknown) look_up(id, std::move(questions), now);
+    go_on(now);
+}
+
+// A job whose record has not changed since this node follows them.
+void Answers::look_up(const std::string& id, std::vector<Question> questions, Millis) {
+    auto [it, fresh] = looked_up_.try_emplace(id);
+    // One that is under way may have been executed before these came; it is asked again after it.
+    std::move(questions.begin(), questions.end(), std::back_inserter(it->second));
+    if (!fresh) return;
+    const std::size_t asked = it->second.size();
+    records_.get(job_key(id), [this, id, asked, g = generation_](Millis t,
+                                                                 const state::GetReply& r) {
+        auto node = looked_up_.extract(id);
+        std::vector<Question> all = std::move(node.mapped());
+        std::vector<Question> later;
+        std::move(all.begin() + static_cast<std::ptrdiff_t>(asked), all.end(),
+                  std::back_inserter(later));
+        all.resize(asked);
+        const auto told = r.outcome == state::Outcome::ok ? read_told(r.item.value, r.item.version)
+                                                          : std::nullopt;
+        // Whatever changed it since this was asked would be known by now.
+        if (told && g == generation_ && revision_ != 0 && find(id) == nullptr) keep(id, *told);
+        if (!later.empty()) look_up(id, std::move(later), t);
+        for (Question& q : all) {
+            if (told)
+                q.done(Found::told, *told);
+            else
+                q.done(r.outcome == state::Outcome::missing ? Found::missing : Found::unknown, {});
+        }
+    });
+}
+
+void Answers::tend(Millis now) {
+    std::vector<Done> late;
+    for (auto* list : {&waiting_, &served_}) {
+        std::erase_if(*list, [&](Question& q) {
+            if (now < q.until) return false;
+            late.push_back(std::move(q.done));
+            return true;
+        });
+    }
+    for (Done& done : late) done(Found::unknown, {});
+    if (state_ == AnswersState::idle || state_ == AnswersState::pausing) go_on(now);
+}
+
+}  // namespace nickelramp::jobs
--- /dev/null
+++ b/src/jobs/confirmed.cpp
@@ -0,0 +1,38 @@
+#include "jobs/confirmed.h"
+
+#include <algorithm>
+
+namespace nickelramp::jobs {
+
+namespace {
+constexpr double kPart = 0.1;  // of the requests, for all controllers together
+constexpr Millis kTimeout = 1'000;
+constexpr Millis kLeastGap = 20, kMostGap = 400;  // users wait 2 s
+
+Millis gap(const wire::Settings& s) {
+    const double each = s.state_rps * kPart / static_cast<double>(s.peers.size() + 1);
+    return std::clamp(seconds(1.0 / std::max(0.1, each)), kLeastGap, kMostGap);
+}
+}  // namespace
+
+Confirmed::Confirmed(uv_loop_t* loop, state::Client& state, const wire::Settings& settings)
+    : loop_(loop),
+      client_(state),
+      timer_(loop, [this] { tend(); }),
+      answers_(*this, gap(settings), [this](Millis at) { timer_.after(at - now()); }) {}
+
+void Confirmed::changes(const std::string& prefix, std::uint64_t after,
+                        std::function<void(Millis, const state::ListReply&)> done) {
+    client_.changes(prefix, after, state::Urgency::first, kTimeout, timed(std::move(done)));
+}
+
+void Confirmed::get(const std::string& key,
+                    std::function<void(Millis, const state::GetReply&)> done) {
+    client_.get(key, state::Urgency::user, kTimeout, timed(std::move(done)));
+}
+
+void Confirmed::revision(std::function<void(Millis, const state::ListReply&)> done) {
+    client_.page("job/", "", 1, state::Urgency::first, timed(std::move(done)));
+}
+
+}  // namespace nickelramp::jobs
--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -53,8 +53,8 @@
     return "";
 }
 
-Desk::Desk(const wire::Settings& settings, state::Client& state, Hooks hooks)
-    : settings_(settings), state_(state), hooks_(std::move(hooks)) {}
+Desk::Desk(const wire::Settings& settings, state::Client& state, Confirmed& answers, Hooks hooks)
+    : settings_(settings), state_(state), answers_(answers), hooks_(std::move(hooks)) {}
 
 bool Desk::handle(const net::Request& request, const net::Responder& responder) {
     const std::string& path = request.path;
@@ -84,6 +84,12 @@
     return true;
 }
 
+void Desk::begin() {
+    if (open_++ == 0) idle_until_ = hooks_.now();
+}
+
+void Desk::end() { --open_; }
+
 void Desk::answer(const char* request, Millis since, const net::Responder& responder,
                   const net::Response& response) {
     hooks_.answered(request, response.status, hooks_.now() - since);
@@ -91,13 +97,10 @@
 }
 
 // Answers from the job's own record.
-void Desk::answer_known(const std::string& id, const Json& record, const net::Responder& r) {
-    auto final = wire::text(record, "final");
-    auto tasks = wire::count(record, "tasks").value_or(0);
-    if (final == wire::final_name(JobStatus::done)) {
-        r.send(ok(200, wire::job_answer(id, JobStatus::done, tasks, 0)));
-    } else if (final == wire::final_name(JobStatus::cancelled)) {
-        r.send(ok(200, wire::job_answer(id, JobStatus::cancelled, 0, 0)));
+void Desk::answer_known(const std::string& id, const Told& told, const net::Responder& r) {
+    if (told.final) {
+        const std::uint64_t done = *told.final == JobStatus::done ? told.tasks : 0;
+        r.send(ok(200, wire::job_answer(id, *told.final, done, 0)));
     } else {
         std::uint64_t done = 0, running = 0;
         hooks_.progress(id, done, running);
@@ -126,19 +129,21 @@
     std::string never = impossible(*spec, settings_, types_);
     if (!never.empty()) {
         // A job that was accepted before must not be turned away now.
-        ++open_;
-        state_.get(job_key(id), state::Urgency::user, kSubmitWait,
-                   [this, id, never, responder](const state::GetReply& r) {
-                       --open_;
-                       if (r.outcome == state::Outcome::ok)
-                           answer_known(id, r.item.value, responder);
-                       else if (r.outcome == state::Outcome::missing)
-                           responder.send(failure(422, never));
-                       else
-                           responder.send(busy());
-                   });
+        begin();
+        answers_.ask(id, kSubmitWait,
+                     [this, id, never, responder](Answers::Found found, const Told& told) {
+                         end();
+                         if (found == Answers::Found::told)
+                             answer_known(id, told, responder);
+                         else if (found == Answers::Found::missing)
+                             responder.send(failure(422, never));
+                         else
+                             responder.send(busy());
+                     });
         return;
     }
+    // A repeated one costs no change.
+    if (answers_.knows(id)) return query(id, responder);
     state::Txn txn;
     txn.conditions = {{job_key(id), 0}};
     txn.writes = {{job_key(id), Json{{"final", nullptr}, {"tasks", spec->tasks}}},
@@ -148,11 +153,11 @@
         responder.send(failure(400, "the description is too long"));
         return;
     }
-    ++open_;
+    begin();
     Millis since = hooks_.now();
     state_.commit(txn, state::Urgency::user, kSubmitWait,
                   [this, id, since, responder](const state::CommitReply& r) {
-                      --open_;
+                      end();
                       spdlog::debug("submission of {}: {}", id, state::name(r.outcome));
                       if (r.outcome == state::Outcome::ok) {
                           answer("submit", since, responder,
@@ -166,17 +171,16 @@
 }
 
 void Desk::query(const std::string& id, net::Responder responder) {
-    ++open_;
-    state_.get(job_key(id), state::Urgency::user, kQueryWait,
-               [this, id, responder](const state::GetReply& r) {
-                   --open_;
-                   if (r.outcome == state::Outcome::ok)
-                       answer_known(id, r.item.value, responder);
-                   else if (r.outcome == state::Outcome::missing)
-                       responder.send(failure(404, "no such job"));
-                   else
-                       responder.send(busy());
-               });
+    begin();
+    answers_.ask(id, kQueryWait, [this, id, responder](Answers::Found found, const Told& told) {
+        end();
+        if (found == Answers::Found::told)
+            answer_known(id, told, responder);
+        else if (found == Answers::Found::missing)
+            responder.send(failure(404, "no such job"));
+        else
+            responder.send(busy());
+    });
 }
 
 // The wish goes into the open record; the leader stops the tasks and makes the job final when none
@@ -187,33 +191,32 @@
         responder.send(busy());
         return;
     }
-    ++open_;
-    state_.get(job_key(id), state::Urgency::user, kQueryWait,
-               [this, id, tries, responder](const state::GetReply& job) {
-                   --open_;
-                   if (job.outcome == state::Outcome::missing) {
-                       responder.send(failure(404, "no such job"));
-                       return;
-                   }
-                   if (job.outcome != state::Outcome::ok) {
+    begin();
+    answers_.ask(id, kQueryWait,
+                 [this, id, tries, responder](Answers::Found found, const Told& told) {
+                     end();
+                     if (found == Answers::Found::missing)
+                         responder.send(failure(404, "no such job"));
+                     else if (found == Answers::Found::unknown)
+                         responder.send(busy());
+                     else if (told.final)
+                         answer_known(id, told, responder);
+                     else
+                         read_open_for_cancel(id, tries, responder);
+                 });
+}
+
+void Desk::read_open_for_cancel(const std::string& id, int tries, net::Responder responder) {
+    begin();
+    state_.get(open_key(id), state::Urgency::user, kQueryWait,
+               [this, id, tries, responder](const state::GetReply& open) {
+                   end();
+                   if (open.outcome == state::Outcome::missing)
+                       cancel(id, tries - 1, responder);  // it has just become final
+                   else if (open.outcome != state::Outcome::ok)
                        responder.send(busy());
-                       return;
-                   }
-                   if (wire::text(job.item.value, "final")) {
-                       answer_known(id, job.item.value, responder);
-                       return;
-                   }
-                   ++open_;
-                   state_.get(open_key(id), state::Urgency::user, kQueryWait,
-                              [this, id, tries, responder](const state::GetReply& open) {
-                                  --open_;
-                                  if (open.outcome == state::Outcome::missing)
-                                      cancel(id, tries - 1, responder);  // it has just become final
-                                  else if (open.outcome != state::Outcome::ok)
-                                      responder.send(busy());
-                                  else
-                                      wish(id, open.item, tries, responder);
-                              });
+                   else
+                       wish(id, open.item, tries, responder);
                });
 }
 
@@ -227,10 +230,10 @@
     txn.conditions = {{open_key(id), open.version}};
     txn.writes = {{open_key(id), open.value}};
     (*txn.writes[0].value)["unwanted"] = true;
-    ++open_;
+    begin();
     state_.commit(txn, state::Urgency::user, kQueryWait,
                   [this, id, tries, responder](const state::CommitReply& r) {
-                      --open_;
+                      end();
                       if (r.outcome == state::Outcome::conflict)
                           cancel(id, tries - 1, responder);
                       else if (r.outcome != state::Outcome::ok || awaited_ >= kMostAwaited)
@@ -249,8 +252,10 @@
             --awaited_;
             for (const state::Item& i : r.items) {
                 if (i.deleted || i.key != job_key(id)) continue;
-                answer_known(id, i.value, responder);
-                return;
+                if (auto told = read_told(i.value, i.version)) {
+                    answer_known(id, *told, responder);
+                    return;
+                }
             }
             responder.send(busy());
         },
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -46,6 +46,8 @@
         if (close_after_) return;
         set_state(State::reading);
         request_ = Request{};
+        // What came before the answer went out follows nothing.
+        request_.follows = r.status == 200 && backlog_.empty();
         headers_ = 0;
         http_parser_pause(&parser_, 0);
         if (!backlog_.empty()) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -18,6 +18,9 @@
     std::string path;
     std::string query;
     std::string body;
+    // It came after an answer 200 to the one before it on this connection: requests are not
+    // pipelined, so that answer has arrived.
+    bool follows = false;
 };
 
 struct Response {
--- a/src/peers/standing.h
+++ b/src/peers/standing.h
@@ -6,14 +6,15 @@
 
 inline constexpr std::uint64_t kServedLately = 8'000;  // its state service answered so lately
 inline constexpr Millis kPeerFresh = 2'500;            // a peer heard of so lately counts
-inline constexpr Millis kRefusedFor = 1'500;           // a node refused for less says nothing yet
+inline constexpr Millis kNotServedFor = 1'500;  // a node not served for less says nothing yet
 
 // Shows the peer that an outage is not everybody's? Only an answer that it got after this node's
-// refusals began: a peer that asks little has not noticed the outage yet and believes itself
+// trouble began: a peer that asks little has not noticed the outage yet and believes itself
 // served.
-inline bool served_meanwhile(Millis refused_since, Millis peer_answered_at, Millis peer_heard_at,
+inline bool served_meanwhile(Millis unserved_since, Millis peer_answered_at, Millis peer_heard_at,
                              Millis now) {
-    return now - peer_heard_at < kPeerFresh && peer_answered_at > refused_since + kRefusedFor / 3;
+    return now - peer_heard_at < kPeerFresh &&
+           peer_answered_at > unserved_since + kNotServedFor / 3;
 }
 
 }  // namespace nickelramp::peers
--- a/src/sharing/lender.cpp
+++ b/src/sharing/lender.cpp
@@ -265,11 +265,9 @@
         for (const Room& r : l.room) {
             Machine* m = book_.machine_at(r.machine);
             if (m == nullptr) continue;
-            m->token = grants_.ledger().block(block).token;
-            m->heard_at = now;
-            m->session = m->seq = 0;  // the holder has heard more than this book
+            // The holder has heard more than this book.
+            book_.charge(*m, grants_.ledger().block(block).token, now);
             m->lease_until = deputy::last_lease(term_.settings(), now);
-            m->wants_confirm = true;
             m->unread = true;
             book_.set_machine_state(*m, MachineState::joining);
             turn_.has_commands(*m);
--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -10,6 +10,9 @@
 constexpr Millis kListTimeout = 4000;
 constexpr std::size_t kListPage = 500;
 constexpr Millis kBackOff = 200;
+constexpr Millis kQuiet = 1'500;
+constexpr Millis kPingTimeout = 1'000;
+constexpr const char* kPingKey = "lead/term";
 
 Item read_item(const Json& j) {
     Item item;
@@ -37,6 +40,24 @@
     return true;
 }
 
+std::string watch_target(const std::string& prefix, std::uint64_t after, Millis wait) {
+    return "/watch?under=" + prefix + "&from=" + std::to_string(after) +
+           "&hold_ms=" + std::to_string(wait);
+}
+
+ListReply news(const net::Reply& r) {
+    ListReply out;
+    out.outcome = outcome_of(r);
+    if (out.outcome != Outcome::ok) return out;
+    auto body = wire::decode_map(r.body);
+    auto revision = body ? wire::count(*body, "epoch") : std::nullopt;
+    if (!revision || !read_items(*body, "news", out.items))
+        out.outcome = Outcome::broken;
+    else
+        out.revision = *revision;
+    return out;
+}
+
 LeaseReply lease_reply(const net::Reply& r) {
     LeaseReply out;
     out.outcome = outcome_of(r);
@@ -140,10 +161,11 @@
             writes_left_ -= c.writes;
             Call call = std::move(c);
             queue.pop_front();
+            asked();
             calls_.request(
                 call.method, call.target, std::move(call.body), call.deadline - t,
                 [this, done = std::move(call.done)](const net::Reply& r) {
-                    note(r);
+                    note_call(r);
                     done(r);
                 },
                 std::move(call.may));
@@ -154,13 +176,32 @@
     for (auto& done : shed) done(net::Reply{net::Reply::Outcome::refused, 0, "", 0});
 }
 
+void Client::asked() {
+    ++under_way_;
+    if (health_.unanswered_since < 0) health_.unanswered_since = now();
+}
+
+// Of a call that is to be answered at once; watches may take their time.
+void Client::note_call(const net::Reply& r) {
+    --under_way_;
+    note(r);
+    const bool answered = r.outcome == net::Reply::Outcome::answered;
+    if (answered) health_.unanswered_since = under_way_ > 0 ? now() : -1;
+}
+
+void Client::ping() {
+    if (now() - heard_at_ < kQuiet || under_way_ > 0) return;
+    get(kPingKey, Urgency::control, kPingTimeout, [](const GetReply&) {});
+}
+
 void Client::note(const net::Reply& r) {
     if (r.outcome != net::Reply::Outcome::answered) return;
+    heard_at_ = now();
     if (r.status == 503) {
-        if (refused_since_ < 0) refused_since_ = now();
+        if (health_.refused_since < 0) health_.refused_since = now();
     } else {
         last_answer_ = now();
-        refused_since_ = -1;
+        health_.refused_since = -1;
     }
     if (r.status == 429) slow_until_ = now() + kBackOff;
 }
@@ -272,9 +313,10 @@
 }
 
 void Client::lease(Millis ttl, LeaseDone done) {
+    asked();
     renewals_.request("POST", "/holds", wire::encode({{"life_ms", ttl}}), 2000,
                       [this, done = std::move(done)](const net::Reply& r) {
-                          note(r);
+                          note_call(r);
                           LeaseReply out = lease_reply(r);
                           if (out.outcome == Outcome::ok && out.lease == 0) {
                               out.outcome = Outcome::broken;
@@ -284,9 +326,10 @@
 }
 
 void Client::renew(std::uint64_t lease, Millis timeout, LeaseDone done) {
+    asked();
     renewals_.request("POST", "/holds/" + std::to_string(lease) + "/touch", "", timeout,
                       [this, done = std::move(done)](const net::Reply& r) {
-                          note(r);
+                          note_call(r);
                           done(lease_reply(r));
                       });
 }
@@ -298,23 +341,17 @@
 
 void Client::watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done,
                    Millis patience) {
-    std::string target = "/watch?under=" + prefix + "&from=" + std::to_string(after) +
-                         "&hold_ms=" + std::to_string(wait);
-    watches_.request("GET", target, "", wait + patience,
+    watches_.request("GET", watch_target(prefix, after, wait), "", wait + patience,
                      [this, done = std::move(done)](const net::Reply& r) {
                          note(r);
-                         ListReply out;
-                         out.outcome = outcome_of(r);
-                         if (out.outcome == Outcome::ok) {
-                             auto body = wire::decode_map(r.body);
-                             auto revision = body ? wire::count(*body, "epoch") : std::nullopt;
-                             if (!revision || !read_items(*body, "news", out.items))
-                                 out.outcome = Outcome::broken;
-                             else
-                                 out.revision = *revision;
-                         }
-                         done(std::move(out));
+                         done(news(r));
                      });
 }
 
+void Client::changes(const std::string& prefix, std::uint64_t after, Urgency urgency,
+                     Millis timeout, ListDone done) {
+    submit(urgency, Call{"GET", watch_target(prefix, after, 0), "", 0, timeout, 0,
+                         [done = std::move(done)](const net::Reply& r) { done(news(r)); }});
+}
+
 }  // namespace nickelramp::state
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -80,6 +80,13 @@
     double writes_per_s = 0;
 };
 
+// How the state service treats this client. 503s are refusals; anything else that it says, even
+// that there is too much, is an answer.
+struct Health {
+    Millis refused_since = -1;     // when 503s began that no answer has followed; -1: none
+    Millis unanswered_since = -1;  // the first that was asked since anything was said; -1: none
+};
+
 class Client {
   public:
     Client(uv_loop_t* loop, const sockaddr_in& address, const std::string& host, Limits limits);
@@ -101,6 +108,9 @@
     // `may` is asked right before the transaction goes out; without it, only the conditions guard.
     void commit(const Txn& txn, Urgency urgency, Millis timeout, CommitDone done,
                 net::HttpClient::Ask may = {});
+    // All changes under the prefix after that revision, at once.
+    void changes(const std::string& prefix, std::uint64_t after, Urgency urgency, Millis timeout,
+                 ListDone done);
     // Does nothing wait for the budget?
     bool spare() const;
     void lease(Millis ttl, LeaseDone done);
@@ -112,8 +122,9 @@
                Millis patience = 5000);
 
     Millis last_answer() const { return last_answer_; }  // refusals aside
-    // When 503s began that no answer has followed; -1: it answers.
-    Millis refused_since() const { return refused_since_; }
+    const Health& health() const { return health_; }
+    // Asks something if nothing has been asked for a while, so that its health is known.
+    void ping();
 
   private:
     struct Call {
@@ -130,7 +141,9 @@
     void pump();
     void list_page(std::shared_ptr<ListReply> sofar, const std::string& prefix,
                    const std::string& after, Urgency urgency, ListDone done);
+    void asked();
     void note(const net::Reply& reply);
+    void note_call(const net::Reply& reply);
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
 
     uv_loop_t* loop_;
@@ -144,8 +157,10 @@
     std::deque<Call> queues_[5];  // by urgency
     net::Timer timer_;
     Millis last_answer_ = 0;
-    Millis refused_since_ = -1;
-    Millis slow_until_ = 0;  // after a 429
+    Millis heard_at_ = 0;  // refusals count
+    Health health_;
+    std::size_t under_way_ = 0;  // calls that are to be answered at once
+    Millis slow_until_ = 0;      // after a 429
 };
 
 // A sensible reply for everything but 200.
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -377,6 +377,7 @@
             spdlog::info("machine {} of the list was not in the book", h.id);
         }
         book_.identify(*m, h.address, h.type, h.zone, h.spot);
+        book_.set_strange(*m, false);
         if (m->listed_at == 0) m->listed_at = now;
         if (h.status == wire::HostStatus::failed) {
             m->failed = true;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -171,7 +171,8 @@
     auto seq = count(body, "tick");
     auto token = count(body, "baton");
     const Json* tasks = field(body, "legs");
-    if (!machine || machine->empty() || !session || !seq || !token) return std::nullopt;
+    if (!machine || machine->empty() || !session || *session == 0 || !seq || !token)
+        return std::nullopt;
     if (tasks != nullptr && !tasks->is_array()) return std::nullopt;
     r.machine = *machine;
     r.address = text(body, "address").value_or("");
--- /dev/null
+++ b/src/workers/contact.h
@@ -0,0 +1,85 @@
+// What is known of a worker's voice: which of its messages is the newest, what each of them proves,
+// and whether ours reach it (docs/design/evidence.md). A message tells of the moment at which it
+// was made, and copies come late: that it has arrived now proves nothing about now.
+#pragma once
+#include <compare>
+#include <cstdint>
+
+#include "base/time.h"
+#include "wire/messages.h"
+
+namespace nickelramp::workers {
+
+// copy:      of a report that the worker has given up already: it drops whatever is answered
+// overtaken: was under way while a later message was heard: it may be answered, its content is old
+// hint:      may be of any age: a reason to ask the worker, no more
+// fresh:     made after everything that was known
+// anew:      fresh, and of a worker that has begun with small numbers again; the token is to be
+//            raised, so that copies of what it said in its former life do not echo it
+enum class Proof { copy, overtaken, hint, fresh, anew };
+const char* name(Proof p);
+// Is what it lists, and what it does not list, true of a moment after all that was known?
+inline bool proves(Proof p) { return p == Proof::fresh || p == Proof::anew; }
+
+// sound:  what we send reaches it, as far as is known
+// silent: nothing shows that it is there
+// deaf:   its reports arrive, but answers or commands do not reach it
+enum class Hearing { sound, silent, deaf };
+const char* name(Hearing h);
+
+// A message's place in the order of all that the worker says.
+struct Mark {
+    std::uint64_t session = 0, seq = 0;
+    friend auto operator<=>(const Mark&, const Mark&) = default;
+};
+
+class Contact {
+  public:
+    // Somebody else was in charge until now: only answers, and what echoes this token, prove
+    // anything. The worker is taken to have been reached at that time.
+    void begin(std::uint64_t token, Millis reached);
+    // A later token is given out from now on; its echo shows that something has arrived since.
+    void raise(std::uint64_t token, Millis now);
+
+    // The one place that says what a message proves.
+    // A report; `follows`: on a connection over which the worker has had an answer 200 of ours.
+    Proof reported(const wire::Report& r, bool follows, Millis now);
+    // The answer to what was sent then, when `asked` was the newest known.
+    Proof answered(const wire::Report& r, const Mark& asked, Millis sent, Millis now);
+    Mark asked() const { return newest_ > reported_ ? newest_ : reported_; }
+
+    // A report was answered 200: if that arrives, the lease lasts a lease from the report on.
+    void answer(Millis lease, Millis now);
+    // Shall it be, when something hangs on its lease? What was not reached for a while after it was
+    // heard again, and what lost its lease although it was answered, is left to lose it, so that
+    // somebody can know that it has.
+    bool worth_an_answer(Millis lease, Millis now) const;
+
+    // It counts as heard for so long after the last proof that something reached it.
+    Hearing hearing(Millis patience, Millis now) const;
+
+    bool proven() const { return newest_.session != 0; }
+    const Mark& newest() const { return newest_; }  // of the messages that are proven
+    // For commands; a wrong one is answered with the right one.
+    std::uint64_t session() const { return newest_.session == 0 ? 1 : newest_.session; }
+    std::uint64_t token() const { return token_; }  // the highest that it had seen by then
+    Millis reached_at() const { return reached_at_; }
+
+  private:
+    void reach(Millis at);
+    void take(const wire::Report& r, const Mark& mark, Millis now);
+
+    Mark newest_;
+    Mark reported_;  // the highest of a report made under us
+    std::uint64_t token_ = 0;
+    std::uint64_t floor_ = 0;  // what echoes this or more was made under us
+    std::uint64_t given_ = 0;  // the last token given out
+    Millis given_at_ = 0, reached_at_ = 0, heard_at_ = 0;
+    Millis doubted_at_ = 0;  // the first report since it was last reached; 0: none
+    std::uint64_t answered_session_ = 0;
+    Millis lapse_before_ = 0;  // had the last answer arrived, that session would last until then
+    bool lapsed_ = false;
+    bool life_doubted_ = false;  // it may have begun anew: only its answer tells
+};
+
+}  // namespace nickelramp::workers
--- a/src/workers/roster.h
+++ b/src/workers/roster.h
@@ -9,6 +9,7 @@
 #include "base/time.h"
 #include "jobs/job.h"
 #include "wire/messages.h"
+#include "workers/contact.h"
 
 namespace nickelramp::workers {
 
@@ -42,14 +43,13 @@
     Millis up_at = 0;
     Millis listed_running_at = 0;
     bool late = false;    // boots longer than counted on
+    Kept<bool> strange;   // known from reports of unknown age only
     bool failed = false;  // the cloud lists it so: it has stopped for good
 
-    std::uint64_t session = 0, seq = 0;
-    std::uint64_t token = 0;       // the one that this term uses for it
-    std::uint64_t seen_token = 0;  // highest it has reported
-    Millis heard_at = 0;           // last report of any kind
-    Millis lease_until = 0;        // by then its tasks are gone unless it is answered again
-    Millis warned_until = 0;       // spot notice: taken back about then; 0: none
+    std::uint64_t token = 0;  // the one that this term uses for it
+    Contact contact;          // what it said, and when something of ours last reached it
+    Millis lease_until = 0;   // its tasks may live until then, by what was sent; not longer
+    Millis warned_until = 0;  // spot notice: taken back about then; 0: none
 
     std::vector<jobs::Attempt*> attempts;
     Kept<std::uint32_t> live;   // attempts that may hold a place
@@ -73,6 +73,9 @@
     bool wants_confirm = false;  // send the token even with no commands
     Millis retry_direct_at = 0;
     std::uint32_t direct_failures = 0;
+    Mark asked_at;  // the newest that it had said when the message under way was sent
+    Millis asked_since = 0;
+    Millis hinted_at = 0;  // a message of unknown age made the book ask it
     bool granted = false;  // in a committed block record
     bool unread = false;   // what was lent with it is not in the book yet
     bool poked = false;    // in the list of those that have something to be sent
@@ -85,15 +88,15 @@
     double places = 0;                 // free for them
     bool spare = false;                // a whole-machine task could have it within seconds
 
-    Kept<bool> up;         // reports, or should
-    Kept<bool> silent;     // has missed reports
+    Kept<bool> up;  // reports, or should
+    Kept<Hearing> hearing{Hearing::sound};
     Kept<bool> shaded;     // not heard since its zone went dark
     Millis listed_at = 0;  // first seen in the cloud's list
 
-    bool confirmed() const { return token != 0 && seen_token == token; }
+    bool confirmed() const { return token != 0 && contact.token() == token; }
     bool usable() const { return state == MachineState::ready; }
     // May be given tasks, and answers.
-    bool open() const { return usable() && !silent && !shaded; }
+    bool open() const { return usable() && hearing == Hearing::sound && !shaded; }
     bool empty() const { return live == 0; }
 };
 
--- /dev/null
+++ b/tests/answers_test.cpp
@@ -0,0 +1,273 @@
+// What users are told: answers of several controllers against a plain model of what each user has
+// been told before; and which controllers say that they can serve.
+#include "jobs/answers.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <map>
+#include <random>
+
+#include "jobs/job.h"
+#include "serving/serving.h"
+
+namespace {
+
+using namespace nickelramp;
+using jobs::Answers;
+using jobs::Told;
+using wire::Json;
+
+// A state service whose calls are executed and answered some time later, or fail.
+struct Store {
+    struct Change {
+        std::uint64_t revision;
+        std::string key;
+        Json value;
+    };
+    std::mt19937_64 random;
+    Millis now = 0;
+    std::multimap<Millis, std::function<void()>> queue;
+    std::vector<Change> log;
+    std::map<std::string, std::pair<Json, std::uint64_t>> keys;
+    std::uint64_t revision = 10;
+    std::size_t kept = 10'000;  // changes that watches may still ask for
+    double fails = 0;
+    std::size_t reads = 0;
+
+    void at(Millis t, std::function<void()> f) { queue.emplace(t, std::move(f)); }
+    Millis some(Millis most) {
+        return 1 + static_cast<Millis>(random() % static_cast<unsigned>(most));
+    }
+    void put(const std::string& id, const char* final) {
+        const Json v{{"final", final == nullptr ? Json() : Json(final)}, {"tasks", 3}};
+        keys[jobs::job_key(id)] = {v, ++revision};
+        log.push_back({revision, jobs::job_key(id), v});
+    }
+    void run_until(Millis t) {
+        while (!queue.empty() && queue.begin()->first <= t) {
+            auto f = std::move(queue.begin()->second);
+            now = queue.begin()->first;
+            queue.erase(queue.begin());
+            f();
+        }
+        now = t;
+    }
+    // Executed there, answered here, or neither.
+    template <typename Reply>
+    void call(std::function<Reply()> execute, std::function<void(Millis, const Reply&)> done) {
+        ++reads;
+        if (std::uniform_real_distribution<double>(0, 1)(random) < fails) {
+            Reply failed;
+            failed.outcome = random() % 2 == 0 ? state::Outcome::refused : state::Outcome::unknown;
+            at(now + some(1'000), [this, failed, done] { done(now, failed); });
+            return;
+        }
+        at(now + some(40), [this, execute, done] {
+            const Reply r = execute();
+            at(now + some(random() % 10 == 0 ? 400 : 40), [this, r, done] { done(now, r); });
+        });
+    }
+};
+
+struct Controller : jobs::Records {
+    Store& store;
+    Answers answers;
+    explicit Controller(Store& s)
+        : store(s), answers(*this, 100, [this](Millis at) {
+              store.at(at, [this] { answers.tend(store.now); });
+          }) {}
+    void changes(const std::string& prefix, std::uint64_t after,
+                 std::function<void(Millis, const state::ListReply&)> done) override {
+        store.call<state::ListReply>(
+            [this, prefix, after] {
+                state::ListReply r;
+                r.outcome = state::Outcome::ok;
+                if (store.log.size() > store.kept &&
+                    store.log[store.log.size() - store.kept].revision > after + 1)
+                    r.outcome = state::Outcome::expired;
+                r.revision = store.revision;
+                for (const auto& c : store.log) {
+                    if (c.revision > after && c.key.rfind(prefix, 0) == 0)
+                        r.items.push_back({c.key, c.value, c.revision, false});
+                }
+                return r;
+            },
+            std::move(done));
+    }
+    void get(const std::string& key,
+             std::function<void(Millis, const state::GetReply&)> done) override {
+        store.call<state::GetReply>(
+            [this, key] {
+                state::GetReply r;
+                auto it = store.keys.find(key);
+                r.outcome = it == store.keys.end() ? state::Outcome::missing : state::Outcome::ok;
+                if (it != store.keys.end())
+                    r.item = {key, it->second.first, it->second.second, false};
+                return r;
+            },
+            std::move(done));
+    }
+    void revision(std::function<void(Millis, const state::ListReply&)> done) override {
+        store.call<state::ListReply>(
+            [this] {
+                state::ListReply r;
+                r.outcome = state::Outcome::ok;
+                r.revision = store.revision;
+                return r;
+            },
+            std::move(done));
+    }
+};
+
+// 0: not there, 1: accepted, 2: done or cancelled.
+int rank(Answers::Found found, const Told& told) {
+    if (found == Answers::Found::missing) return 0;
+    return told.final ? 2 : 1;
+}
+
+// Whichever controller is asked: nobody is told less than anybody was told before the question
+// came, by whatever controller, however late or lost the messages are.
+TEST(Answers, NobodyIsToldLessThanWasToldBefore) {
+    std::size_t told = 0, finals = 0, missing = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SCOPED_TRACE(seed);
+        Store store;
+        store.random.seed(seed);
+        store.kept = seed % 4 == 0 ? 20 : 10'000;
+        store.fails = seed % 3 == 0 ? 0.2 : 0;
+        std::vector<std::unique_ptr<Controller>> nodes;
+        for (int i = 0; i < 3; ++i) nodes.push_back(std::make_unique<Controller>(store));
+        std::map<std::string, int> best;  // that any user was told of the job
+        std::size_t open = 0;
+        for (int step = 0; step < 3'000; ++step) {
+            store.run_until(store.now + static_cast<Millis>(store.random() % 30));
+            const std::string id = "job-" + std::to_string(store.random() % 40);
+            const auto it = store.keys.find(jobs::job_key(id));
+            const int what = static_cast<int>(store.random() % 100);
+            if (what < 3 && it == store.keys.end()) {
+                store.put(id, nullptr);
+                best[id] = 1;  // its user was told 201
+            } else if (what < 5 && it != store.keys.end() && it->second.first["final"].is_null()) {
+                store.put(id, store.random() % 2 == 0 ? "done" : "withdrawn");
+            } else if (what < 60) {
+                Controller& c = *nodes[store.random() % 3];
+                ++open;
+                c.answers.ask(
+                    id, 1'500,
+                    [&, id, least = best[id], asked = store.now](Answers::Found f, const Told& t) {
+                        --open;
+                        EXPECT_LE(store.now - asked, 3'500);
+                        if (f == Answers::Found::unknown) return;
+                        EXPECT_GE(rank(f, t), least) << id << " asked at " << asked;
+                        best[id] = std::max(best[id], rank(f, t));
+                        ++told;
+                        finals += rank(f, t) == 2;
+                        missing += rank(f, t) == 0;
+                    },
+                    store.now);
+            }
+            for (auto& n : nodes) n->answers.tend(store.now);
+            if (testing::Test::HasFailure()) return;
+        }
+        for (int i = 0; i < 40; ++i) {
+            store.run_until(store.now + 200);
+            for (auto& n : nodes) n->answers.tend(store.now);
+        }
+        EXPECT_EQ(open, 0u);
+    }
+    EXPECT_GT(told, 10'000u);
+    EXPECT_GT(finals, 1'000u);
+    EXPECT_GT(missing, 1'000u);
+}
+
+// A storm of questions once took all requests of the state service: nothing else was served for a
+// minute. The cost does not follow their number, and every job is answered for.
+TEST(Answers, AStormOfQuestionsCostsNoMoreAndForgetsNobody) {
+    Store store;
+    Controller c(store);
+    for (int i = 0; i < 500; ++i) store.put("job-" + std::to_string(i), nullptr);
+    for (int i = 0; i < 500; ++i) {
+        c.answers.ask(
+            "job-" + std::to_string(i), 1'500, [](auto, const auto&) {}, store.now);
+    }
+    store.run_until(5'000);
+    const std::size_t before = store.reads;
+    std::vector<Millis> answered(500, 0);
+    std::size_t questions = 0;
+    while (store.now < 65'000) {
+        for (int k = 0; k < 40; ++k) {  // 400 a second
+            const std::size_t i = store.random() % 500;
+            ++questions;
+            c.answers.ask(
+                "job-" + std::to_string(i), 1'500,
+                [&, i](Answers::Found f, const Told&) {
+                    if (f == Answers::Found::told) answered[i] = store.now;
+                },
+                store.now);
+        }
+        store.run_until(store.now + 100);
+        c.answers.tend(store.now);
+    }
+    EXPECT_GT(questions, 20'000u);
+    EXPECT_LE(store.reads - before, questions / 20);
+    for (Millis t : answered) EXPECT_GT(t, store.now - 15'000);
+}
+
+TEST(Answers, QuestionsForNothingAreLookedUpOnceTogether) {
+    Store store;
+    Controller c(store);
+    std::size_t missing = 0;
+    c.answers.ask(
+        "job-0", 1'500, [](auto, const auto&) {}, store.now);
+    store.run_until(2'000);
+    const std::size_t before = store.reads;
+    for (int i = 0; i < 50; ++i) {
+        c.answers.ask(
+            "job-9", 1'500,
+            [&](Answers::Found f, const Told&) { missing += f == Answers::Found::missing; },
+            store.now);
+    }
+    store.run_until(4'000);
+    EXPECT_EQ(missing, 50u);
+    EXPECT_LE(store.reads - before, 4u);  // two reads, two lookups
+}
+
+// An outage that everybody has takes no controller out of service; a trouble of this one's alone
+// does, also when it has lost the other controllers and cannot hear that they are served.
+TEST(Serving, OnlyAControllerThatAloneIsNotServedStepsAside) {
+    using serving::State;
+    struct Case {
+        state::Health health;
+        std::vector<serving::PeerNews> peers;
+        State state;
+    };
+    const Millis now = 100'000;
+    const state::Health well{}, refused{95'000, -1}, silent{-1, 95'000}, just{99'000, -1};
+    const serving::PeerNews served{99'500, 99'000}, not_served{99'500, 94'000},
+        lost{90'000, 89'000};
+    const Case cases[] = {
+        {well, {served, served}, State::serving},
+        {well, {lost, lost}, State::serving},
+        {just, {lost, lost}, State::serving},
+        {refused, {served, not_served}, State::refused},
+        {refused, {not_served, not_served}, State::outage},
+        {refused, {not_served, lost}, State::outage},
+        {refused, {lost, lost}, State::refused},
+        {refused, {}, State::refused},
+        {silent, {served, lost}, State::cut_off},
+        {silent, {not_served, not_served}, State::outage},
+        {silent, {lost, lost}, State::cut_off},
+    };
+    for (const Case& c : cases) {
+        serving::Serving s(2, 0);
+        EXPECT_EQ(s.look(true, c.health, c.peers, {}, now), c.state);
+        EXPECT_EQ(s.ready(), c.state == State::serving || c.state == State::outage);
+    }
+    serving::Serving alone(0, 0);  // the only controller that there is
+    EXPECT_EQ(alone.look(true, refused, {}, {}, now), State::outage);
+    EXPECT_EQ(alone.look(false, well, {}, {}, now), State::starting);
+    EXPECT_FALSE(alone.ready());
+}
+
+}  // namespace
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -111,9 +111,11 @@
     test::StateStandin standin{&loop, 39303};
     state::Client state{&loop, *net::parse_address("127.0.0.1:39303"), "state", {200, 200}};
     std::vector<int> counted;
+    jobs::Confirmed answers{&loop, state, settings};
     jobs::Desk desk{
         settings,
         state,
+        answers,
         {[] { return std::int64_t{1}; }, [this] { return static_cast<Millis>(uv_now(&loop)); },
          [this](const char*, int status, Millis) { counted.push_back(status); },
          [](const std::string&, std::uint64_t&, std::uint64_t&) { return false; }}};
--- a/tests/parts.h
+++ b/tests/parts.h
@@ -152,7 +152,7 @@
         }
     }
     std::uint64_t revision = 1000;
-    void reported(workers::Machine&, const wire::Report&, Millis) override { ++reports; }
+    void answered(workers::Machine&, const wire::Report&, Millis) override { ++reports; }
 
     // A machine that may be given tasks.
     workers::Machine& machine(const std::string& name, const std::string& type,
@@ -160,8 +160,11 @@
         workers::Machine* m = book.adopt(name, now);
         book.identify(*m, name + ":1", type, zone, spot);
         m->up_at = 1;
-        m->session = 1;
-        m->token = m->seen_token = blocks::term_token(7);
+        book.charge(*m, blocks::term_token(7), now);
+        wire::Report r;
+        r.session = r.seq = 1;
+        r.token = m->token;
+        EXPECT_EQ(m->contact.reported(r, false, now), workers::Proof::fresh);
         m->granted = true;
         book.set_machine_state(*m, workers::MachineState::ready);
         return *m;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -78,16 +78,17 @@
         RC_ASSERT(m->live == on[m].size() && m->firm == firm && m->gangs == gangs);
         RC_ASSERT(std::abs(m->cpus_free - cpus) < 1e-6 && std::abs(m->gpus_free - gpus) < 1e-6);
         RC_ASSERT(std::abs(m->firm_cpus - firm_cpus) < 1e-6);
-        const bool may = m->state == MachineState::ready && !m->silent && !m->shaded;
+        const bool sound = m->hearing == workers::Hearing::sound;
+        const bool may = m->state == MachineState::ready && sound && !m->shaded;
         if (may && m->cpus_free > placing::kSlack) open.insert(m->index);
         if (m->state == MachineState::booting || m->state == MachineState::joining) {
             coming.insert(m->index);
         }
         if (m->state == MachineState::returning) returning.insert(m->index);
-        if (m->silent) silent.insert(m->index);
+        if (!sound) silent.insert(m->index);
         if (m->state != MachineState::booting && m->state != MachineState::lent) {
             ++counted[m->zone].first;
-            counted[m->zone].second += m->silent ? 1 : 0;
+            counted[m->zone].second += sound ? 0 : 1;
         }
         outlook::Demand& d = by_type[m->type];
         d.blank += may && !m->spot && m->live == 0;
@@ -203,7 +204,9 @@
             Machine* m = some_machine(k);
             if (m == nullptr || m->state == MachineState::lent) return;
             if (k % 5 == 0) {
-                p.book.set_silent(*m, !m->silent);
+                p.book.set_hearing(*m, m->hearing == workers::Hearing::sound
+                                           ? workers::Hearing::deaf
+                                           : workers::Hearing::sound);
             } else if (k % 5 == 1) {
                 p.book.set_shaded(*m, !m->shaded);
             } else if (k % 5 == 2) {
--- a/tests/silence_test.cpp
+++ b/tests/silence_test.cpp
@@ -111,6 +111,7 @@
         std::uint64_t incarnations = 0;
         for (Peer& p : peers) p.incarnation = ++incarnations;
         wire::Report report;
+        report.session = 1;
         report.token = blocks::grant_token(7, 3);
         Millis lease_until = 0;  // as the leader's own answers let it last
         Millis really = 0;       // as the worker has it
@@ -161,7 +162,8 @@
             for (int i = 0; i < 2; ++i) {
                 const Millis theirs = now + 5'000 * (i + 1);
                 peers[i].deputy->look(peers[i].leader_at, peers[i].leader_at, theirs);
-                if (!peers[i].deputy->answer(report, theirs)) continue;
+                ++report.seq;
+                if (!peers[i].deputy->answer(report, true, theirs)) continue;
                 really = now + seconds(s.lease_s);
                 ++renewals;
             }
@@ -185,10 +187,12 @@
     l.highest = blocks::grant_token(7, 5);
     l.lent = {blocks::grant_token(7, 4)};
     wire::Report r;
+    r.session = 1;
     r.token = blocks::grant_token(7, 2) + 9;
     auto answers = [&](Millis now) {
         d.look(10'000, 10'000, now);
-        return d.answer(r, now);
+        ++r.seq;
+        return d.answer(r, true, now);
     };
     EXPECT_FALSE(answers(20'000));  // no leave
     d.on_leave(l, 4, 10'100);       // of another process
@@ -330,7 +334,8 @@
     const std::size_t before = world->running("b"), starts = world->starts();
     world->take_away("b");
     world->run_until(118'000);  // the last leases would end at 120 s
-    for (const auto* m : world->leader()->roster().all()) EXPECT_FALSE(m->silent) << m->name;
+    for (const auto* m : world->leader()->roster().all())
+        EXPECT_EQ(m->hearing, workers::Hearing::sound) << m->name;
     world->run_until(150'000);
     EXPECT_EQ(world->starts(), starts + before);
 }
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -60,7 +60,7 @@
             if (i.contains("path")) i["set"] = i["path"], i.erase("path");
             news.push_back(std::move(i));
         }
-        if (news.empty())
+        if (news.empty() && !w.at_once)
             watches_.push_back(std::move(w));
         else
             w.responder.send(reply(200, {{"epoch", epoch_}, {"news", news}}));
@@ -94,8 +94,8 @@
 
 void StateStandin::handle(const net::Request& q, net::Responder r) {
     if (q.path == "/watch") {
-        watches_.push_back(
-            {parameter(q.query, "under"), std::stoull(parameter(q.query, "from")), r});
+        watches_.push_back({parameter(q.query, "under"), std::stoull(parameter(q.query, "from")), r,
+                            parameter(q.query, "hold_ms") == "0"});
         if (!down) answer_watches();
         return;
     }
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -35,6 +35,7 @@
         std::string prefix;
         std::uint64_t after;
         net::Responder responder;
+        bool at_once = false;
     };
     void handle(const net::Request& request, net::Responder responder);
     void commit(const wire::Json& body, const net::Responder& responder);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -420,7 +420,8 @@
     }
     w.at(arrive, [&w, machine, token, session, commands, done, lost, replied] {
         auto it = w.machines_.find(machine);
-        if (it == w.machines_.end() || !it->second->up || it->second->removed || it->second->dead)
+        if (it == w.machines_.end() || !it->second->up || it->second->removed || it->second->dead ||
+            w.now_ < it->second->deaf_until)
             return;
         Machine& m = *it->second;
         book::DirectReply reply;
@@ -528,14 +529,12 @@
     m.up = true;
     m.lease_from = now_;
     m.target = random_() % nodes_.size();
-    checkin(name);
+    checkin(name, m.life);
 }
 
 std::string World::any_machine() {
-    for (auto& [name, m] : machines_) {
-        if (m->up && !m->removed && !m->dead && !m->tasks.empty()) return name;
-    }
-    return "";
+    const auto all = working_machines();
+    return all.empty() ? "" : all.front();
 }
 
 // Dies without a word; what was on it is gone.
@@ -578,40 +577,85 @@
     return r;
 }
 
+// What the node says to a report, at this moment.
+dispatch::CheckinAnswer World::hear(std::size_t node, const wire::Report& r, bool follows) {
+    Node& n = *nodes_[node];
+    dispatch::CheckinAnswer a;
+    a.status = 503;
+    if (n.holding && n.holding->holds(r.machine)) a = n.holding->on_checkin(r, follows, now_);
+    if (n.book && (n.leads || now_ < n.answers_until)) a = n.book->on_checkin(r, follows, now_);
+    if (n.deputy && a.status != 200) {
+        Millis heard = deputy_cut(node) ? n.leader_at : now_;
+        n.deputy->look(heard, heard, now_);
+        if (auto token = n.deputy->answer(r, follows, now_)) {
+            a = {200, "", *token, {}};
+            ++answered_by_deputies_;
+        }
+    }
+    return a;
+}
+
+// Over a connection of their own, whose answers nobody reads.
+void World::late_copies(const wire::Report& r) {
+    while (chance(trouble_.late_copy)) {
+        at(now_ + 500 + delay(90'000), [this, r] {
+            ++copies_;
+            hear(random_() % nodes_.size(), r, false);
+        });
+    }
+}
+
+void World::copy(const std::string& machine, bool first, Millis after) {
+    at(now_ + after, [this, r = first ? machines_[machine]->first : machines_[machine]->last] {
+        ++copies_;
+        for (std::size_t i = 0; i < nodes_.size(); ++i) {
+            if (!nodes_[i]->leads) continue;
+            EXPECT_TRUE(hear(i, r, false).commands.empty()) << "orders to a copy";
+        }
+    });
+}
+
+void World::restart_machine(const std::string& name) {
+    Machine& m = *machines_[name];
+    if (m.removed || m.dead || !m.up) return;
+    m.tasks.clear();
+    m.known.clear();
+    m.session = 1;
+    m.seq = m.token = 0;
+    m.lease_from = now_;
+    m.follows = m.unanswered = false;
+    const std::size_t life = ++m.life;
+    at(now_ + delay(300), [this, name, life] { checkin(name, life); });
+}
+
 // One report, its answer, and the next.
-void World::checkin(const std::string& name) {
+void World::checkin(const std::string& name, std::size_t life) {
     Machine& m = *machines_[name];
-    if (m.removed || m.dead) return;
+    if (m.removed || m.dead || m.life != life) return;
     if (const Cut* c = cut_of(m); c != nullptr && c->hangs) {
-        at(c->until + delay(500), [this, name] { checkin(name); });
+        at(c->until + delay(500), [this, name, life] { checkin(name, life); });
         return;
     }
     step(m);
-    at(now_ + 2300 + delay(1400), [this, name] { checkin(name); });
+    at(now_ + 2300 + delay(1400), [this, name, life] { checkin(name, life); });
+    if (m.unanswered)
+        m.target = (m.target + 1) % nodes_.size();  // the next, as the protocol has it
+    const bool follows = std::exchange(m.follows, false);
+    m.unanswered = true;
     Millis sent = now_;
     std::uint64_t session = m.session;
     wire::Report r = report_of(m);
-    if (chance(trouble_.lost_checkin) || !reaches(m, m.target)) {
-        m.target = (m.target + 1) % nodes_.size();  // the next, as the protocol has it
-        return;
-    }
-    at(now_ + delay(10), [this, name, r, sent, session] {
+    if (m.first.machine.empty()) m.first = r;
+    m.last = r;
+    late_copies(r);
+    if (chance(trouble_.lost_checkin) || !reaches(m, m.target)) return;
+    at(now_ + delay(10), [this, name, r, sent, session, follows, life] {
         Machine& m = *machines_[name];
-        Node& n = *nodes_[m.target];
-        bool answers = n.book && (n.leads || now_ < n.answers_until);
-        dispatch::CheckinAnswer a;
-        a.status = 503;
-        if (n.holding && n.holding->holds(r.machine)) a = n.holding->on_checkin(r, now_);
-        if (answers) a = n.book->on_checkin(r, now_);
-        if (n.deputy && a.status != 200) {
-            Millis heard = deputy_cut(m.target) ? n.leader_at : now_;
-            n.deputy->look(heard, heard, now_);
-            if (auto token = n.deputy->answer(r, now_)) {
-                a = {200, "", *token, {}};
-                ++answered_by_deputies_;
-            }
-        }
+        const bool deaf = now_ < m.deaf_until;
+        const dispatch::CheckinAnswer a = hear(m.target, r, follows);
+        if (m.life != life || deaf) return;
         if (a.status != 200) {
+            m.unanswered = false;
             // On to the next; whoever is out of reach is found out by trying.
             m.target = reaches(m, nodes_.size() - 1) ? nodes_.size() - 1 : random_() % 2;
             for (std::size_t i = 0; i < 2 && share_ > 0; ++i) {
@@ -621,8 +665,11 @@
         }
         EXPECT_GE(a.token, r.token) << "an answer that the worker must drop";
         if (chance(trouble_.lost_checkin)) return;
-        at(now_ + delay(10), [this, name, a, sent, session] {
+        at(now_ + delay(10), [this, name, a, sent, session, life] {
             Machine& m = *machines_[name];
+            if (m.life != life) return;
+            m.unanswered = false;
+            m.follows = true;
             if (m.removed || m.dead || m.session != session || a.token < m.token ||
                 now_ - sent > 4000)
                 return;
@@ -633,6 +680,14 @@
     });
 }
 
+std::vector<std::string> World::working_machines() const {
+    std::vector<std::string> out;
+    for (const auto& [name, m] : machines_) {
+        if (m->up && !m->removed && !m->dead && !m->tasks.empty()) out.push_back(name);
+    }
+    return out;
+}
+
 void World::take_away(const std::string& zone) {
     for (auto& [name, m] : machines_) {
         if (m->zone != zone || m->removed) continue;
--- a/tests/world.h
+++ b/tests/world.h
@@ -25,6 +25,8 @@
     double held_direct = 0;   // a direct message arrives much later
     double lost_commit = 0;   // a transaction's outcome is unknown
     double lost_checkin = 0;  // a report or its answer is lost
+    double late_copy = 0;     // a report comes once more, seconds to several leases late
+    double restarts = 0;      // a second, for one machine: back at once, its numbers begin anew
     double refuse_hire = 0;
     double sick = 0;            // machines that fail every task
     double machine_dies = 0;    // a second, for one machine
@@ -91,6 +93,17 @@
     std::size_t machines() const { return machines_.size(); }
     const std::vector<std::string>& hired_types() const { return hired_types_; }  // in order
     void kill_machine(const std::string& name);
+    // Its worker is back at once, with its numbers anew and nothing on it.
+    void restart_machine(const std::string& name);
+    // Its reports arrive; no answer and no command reaches it.
+    void deafen(const std::string& name, Millis until) { machines_[name]->deaf_until = until; }
+    const std::string& zone_of(const std::string& machine) { return machines_[machine]->zone; }
+    std::vector<std::string> working_machines() const;
+    std::size_t tasks_on(const std::string& machine) { return machines_[machine]->tasks.size(); }
+    bool removed(const std::string& machine) { return machines_[machine]->removed; }
+    // A copy of what it has just said, or of what it said first, reaches the leader after so long.
+    void copy(const std::string& machine, bool first, Millis after);
+    std::size_t copies() const { return copies_; }
     std::string any_machine();
     dispatch::Dispatcher* leader();
     std::string what_runs() const;
@@ -113,6 +126,11 @@
         std::set<std::string> images;
         std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> known;  // until forgotten
         std::size_t target = 0;
+        bool follows = false;  // its last report to that node was answered 200
+        bool unanswered = false;
+        Millis deaf_until = 0;
+        std::size_t life = 0;
+        wire::Report first, last;
         Millis hired_at = 0, removed_at = kNever;
     };
     struct Rental {
@@ -178,7 +196,9 @@
     void tick_holder(std::size_t n, std::uint64_t incarnation);
     void back_channel();
     void tick_node(std::size_t n);
-    void checkin(const std::string& name);
+    void checkin(const std::string& name, std::size_t life);
+    dispatch::CheckinAnswer hear(std::size_t node, const wire::Report& r, bool follows);
+    void late_copies(const wire::Report& r);
     wire::Report report_of(Machine& m);
     void execute(Machine& m, const std::vector<wire::Command>& commands);
     void step(Machine& m);
@@ -221,6 +241,7 @@
     std::size_t starts_ = 0;
     std::size_t stops_ = 0;   // commands that ended a task
     std::size_t killed_ = 0;  // tasks, by their leases
+    std::size_t copies_ = 0;
     std::vector<Cut> cuts_;
     std::size_t answered_by_deputies_ = 0;
 
