Gangs whose images take longer than their members wait begin

Change: such a member is started when the others have theirs, where a fetch takes more than half of gang_wait_s. Fetches that nobody waits for any more are no longer taken for being under way.

--- a/src/book/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -68,6 +68,10 @@
             if (j.gang()) --m->gangs.own();
             m->firm_cpus.own() -= j.spec.cpus;
         }
+        const bool wanted = std::any_of(m->attempts.begin(), m->attempts.end(), [&](auto* other) {
+            return other != &a && other->live() && job_of(*other).image == j.image;
+        });
+        if (!wanted) placing::give_up_fetch(*m, j.image);
         refresh(*m);
     }
     team_use_[j.team].cpus -= j.spec.cpus;
--- a/src/dispatch/courier.cpp
+++ b/src/dispatch/courier.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "placing/placer.h"
+
 namespace nickelramp::dispatch {
 
 using book::Delivery;
@@ -21,6 +23,7 @@
 constexpr Millis kRetryDark = 8'000;
 constexpr std::size_t kDirectPart = 8;  // of the sockets, for messages under way at once
 constexpr std::size_t kBatch = 200;     // commands in one message
+constexpr double kMatesPart = 0.5;      // of gang_wait_s: a fetch that takes less is waited for
 }  // namespace
 
 void Courier::poke(Machine& m) {
@@ -103,6 +106,10 @@
         } else if (a->state == AttemptState::recorded && m.confirmed() &&
                    j.state == jobs::JobState::open) {
             if (j.gang() && !j.recorded_whole()) continue;
+            if (j.gang() && waits_for_mates(j, m)) {
+                book_.remind(m, now + kRetryUnknown);
+                continue;
+            }
             commands.push_back({Command::Op::start, j.spec.id, a->task, a->number, 0});
             book_.sent(*a, m, now);
         }
@@ -120,6 +127,22 @@
         }));
 }
 
+// A member that has its image waits for the others, no longer than gang_wait_s, and ends the
+// attempt and their fetches with it. Where fetching takes about as long it is started when they
+// have theirs: a gang of eight with one such member once never began.
+bool Courier::waits_for_mates(const Job& j, const Machine& m) const {
+    const double soon = term_.settings().gang_wait_s * kMatesPart;
+    auto fetch_s = [&](const Machine& on) {
+        return on.type == kNone ? 0 : placing::fetch_wait_s(j, on, book_.types()[on.type]);
+    };
+    if (fetch_s(m) > 0) return false;
+    return std::any_of(j.attempts.begin(), j.attempts.end(), [&](const auto& mate) {
+        const Machine* on = book_.machine_of(*mate);
+        return mate->live() && mate->state < AttemptState::waiting && on != nullptr &&
+               fetch_s(*on) > soon;
+    });
+}
+
 void Courier::on_direct(const std::string& name, std::uint64_t token, const DirectReply& reply,
                         Millis now) {
     --directs_;
--- a/src/dispatch/courier.h
+++ b/src/dispatch/courier.h
@@ -35,6 +35,7 @@
                         std::vector<wire::Command>& out);
     std::vector<wire::Command> standing_commands(workers::Machine& m);
     void send(workers::Machine& m, Millis now);
+    bool waits_for_mates(const jobs::Job& j, const workers::Machine& m) const;
     void on_direct(const std::string& name, std::uint64_t token, const book::DirectReply& reply,
                    Millis now);
 
--- a/src/placing/placer.cpp
+++ b/src/placing/placer.cpp
@@ -64,6 +64,12 @@
     return total;
 }
 
+void give_up_fetch(workers::Machine& m, Index image) {
+    std::erase_if(m.images, [image](const workers::CachedImage& c) {
+        return c.image == image && !c.present;
+    });
+}
+
 void touch_image(workers::Machine& m, const wire::MachineType& type, Index image, double gb,
                  bool present, Millis now) {
     auto it = std::find_if(m.images.begin(), m.images.end(),
--- a/src/placing/placer.h
+++ b/src/placing/placer.h
@@ -38,6 +38,8 @@
 double cost(const jobs::Job& j, const workers::Machine& m, const wire::MachineType& type);
 
 // The image is used (or will be) on this machine; the cache keeps the most recently used ones.
+// Nobody on the machine waits for it any more: a fetch under way is given up.
+void give_up_fetch(workers::Machine& m, Index image);
 void touch_image(workers::Machine& m, const wire::MachineType& type, Index image, double gb,
                  bool present, Millis now);
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -243,4 +243,25 @@
     EXPECT_GE(tried, 5u);
 }
 
+// One member has its image, the others fetch theirs for longer than it waits: it ended the attempt,
+// and their fetches with it, over and over.
+TEST(Dispatch, AGangWhoseImagesTakeLongerThanItsMembersWaitBegins) {
+    for (std::uint64_t seed : {901, 902, 903, 904}) {
+        SCOPED_TRACE(seed);
+        World world(seed, {});
+        wire::Json first = job("job-0", "sweep", 1, 4), gang = job("job-1", "ensemble", 3, 4);
+        for (wire::Json* j : {&first, &gang}) {
+            (*j)["pull_gb"] = 24.0;
+            (*j)["bundle"] = "large";
+            (*j)["rigs"] = {"g4"};
+        }
+        world.submit(first);
+        world.run_until(80'000);
+        ASSERT_EQ(world.final_state("job-0"), "done");
+        world.submit(gang);
+        world.run_until(180'000);
+        EXPECT_EQ(world.final_state("job-1"), "done");
+    }
+}
+
 }  // namespace
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -775,6 +775,9 @@
             }
             t.phase = "fetching";
             t.ready_at = now_ + (m.images.count(spec.image) != 0 ? 50 : 2000 + delay(3000));
+            if (spec.image_gb > 5 && m.images.count(spec.image) == 0)  // give or take a third
+                t.ready_at =
+                    now_ + seconds(spec.image_gb * 0.75) + delay(seconds(spec.image_gb * 0.5));
             if (gpus + spec.gpus > total + 1e-6) {
                 ADD_FAILURE() << "a start that does not fit";
                 t.phase = "exited";
