Jobs at fault take one place at a time

Need: a job with a mistake fails everywhere until it is cancelled; its whole array was started anew after each back-off, and machines were hired for it.

Change: a job that has failed on three machines is on trial: one task (a gang whole) until one has run for 5 s or completed; supply, forecast and room-making count only that.

Measured: Dispatch.AJobWithAMistakeTakesLittleAndBlamesNoMachine; 60 tasks start at most 12 times more in 240 s.

--- a/src/book/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -14,6 +14,7 @@
 constexpr Millis kBackOffFirst = 10'000;
 constexpr Millis kBackOffMost = 120'000;
 constexpr Millis kProbation = 30'000;
+constexpr Millis kRunsWell = 5'000;
 constexpr std::size_t kJobAtFault = 3;      // machines a job has failed on
 constexpr std::size_t kMachineAtFault = 2;  // jobs that have failed on a machine
 }  // namespace
@@ -177,6 +178,7 @@
     a.cause = cause;
     set_attempt_state(a, AttemptState::exited, now);
     if (cause == ExitCause::done) {
+        j.on_trial = false;
         if (m != nullptr) m->failed_jobs.clear();
         listener_.completed(j, a, now);
         if (j.done_dirty_since == 0) j.done_dirty_since = now;
@@ -224,8 +226,12 @@
         placing::touch_image(m, types_[m.type], j.image, j.spec.image_gb,
                              t.phase != wire::TaskPhase::fetching, now);
     }
-    if (a.running_since != 0 && now - a.running_since > 5000 && !m.failed_jobs.empty() &&
-        j.failed_on.empty()) {
+    const bool runs = a.running_since != 0 && now - a.running_since > kRunsWell;
+    if (runs && j.on_trial) {
+        j.on_trial = false;
+        touch();
+    }
+    if (runs && !m.failed_jobs.empty() && j.failed_on.empty()) {
         m.failed_jobs.clear();  // it runs tasks after all
         m.probation_until = 0;
     }
@@ -330,6 +336,7 @@
     if (j.failed_on.size() >= kJobAtFault) {
         j.hold_until = now + std::min(kBackOffMost, kBackOffFirst << std::min(j.back_offs, 6u));
         ++j.back_offs;
+        j.on_trial = true;
         // Its failures say nothing about the machines.
         for (Index i : j.failed_on) {
             Machine* other = roster_.at(i);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -174,7 +174,7 @@
             else
                 intake_.attend(*j, now);
         }
-        if (j->unstarted() > 0) {
+        if (j->wanted() > 0) {
             if (j->starved_since == 0) j->starved_since = now;
             unplaced.push_back(j);
             outlook_.whole_waits(*j);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -141,6 +141,7 @@
     std::vector<Index> failed_on;  // machines on which a task ended in error
     Millis hold_until = 0;         // backed off
     std::uint32_t back_offs = 0;
+    bool on_trial = false;  // at fault, as it seems: one task at a time until one runs
 
     bool within_guarantee = false;
     Urgency urgency;
@@ -167,6 +168,12 @@
     }
     bool is_done(std::uint32_t task) const;
     void mark_done(std::uint32_t task);
+    // Of those that want a place, the ones that it may have at once.
+    std::uint32_t wanted() const {
+        const std::uint32_t all = unstarted();
+        if (!on_trial || all == 0) return all;
+        return live > 0 ? 0 : gang() ? all : 1;
+    }
     // Tasks that want a place now. A gang wants all or none.
     std::uint32_t unstarted() const {
         if (state != JobState::open || lent_to != kNone) return 0;
--- a/src/schedule/order.cpp
+++ b/src/schedule/order.cpp
@@ -56,7 +56,7 @@
             first = std::min(first, *start_by);
     }
     u.start_by = first;
-    u.work = j.unstarted() * std::max(1.0, outlook_.expected_run_s(j));
+    u.work = j.wanted() * std::max(1.0, outlook_.expected_run_s(j));
     return u;
 }
 
@@ -104,7 +104,7 @@
         const double run_s = std::max(1.0, outlook_.expected_run_s(*j));
         // What runs now ends, on average, after half its time.
         if (queue_s == 0) queue_s = run_s / 2;
-        queue_s += j->unstarted() * run_s / places;
+        queue_s += j->wanted() * run_s / places;
         const double last_s = std::max(0.0, queue_s - run_s);
         j->patience = jobs::Patience::relaxed;
         double extra = 0;
@@ -120,8 +120,8 @@
             if (due_s < boot_s) continue;
             // A new place serves several tasks until they are due, one after the other.
             const double late = (last_s - due_s) * places / run_s;
-            extra = std::max(
-                extra, std::min<double>(j->unstarted(), late / (1 + (due_s - boot_s) / run_s)));
+            extra = std::max(extra,
+                             std::min<double>(j->wanted(), late / (1 + (due_s - boot_s) / run_s)));
             // With those, the queue so far is served by then; the jobs behind must not count the
             // same delay again.
             queue_s = std::min(queue_s, due_s + run_s);
--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -21,12 +21,13 @@
 }  // namespace
 
 bool Schedule::try_job(Job& j, Millis now) {
-    if (j.unstarted() == 0) return true;
+    // One with a mistake fails everywhere: it is to show with one task that it has none any more.
+    if (j.wanted() == 0) return true;
     // Replicas stay for long: they take a dear place only when room on a cheap one can't be made
     // soon.
     j.avoids_dear = j.service() && (j.starved_since == 0 || now - j.starved_since < kGoneWithin);
     if (j.gang() ? place_gang(j, now) : place_some(j, now)) return true;
-    std::uint32_t want = j.gang() ? j.spec.tasks : std::min(j.unstarted(), rules_.room_in_limit(j));
+    std::uint32_t want = j.gang() ? j.spec.tasks : std::min(j.wanted(), rules_.room_in_limit(j));
     bool coming = want > 0 && rules_.within_limit(j, want) && make_room(j, want, now);
     if (!j.avoids_dear || coming || j.unstarted() == 0) return false;
     j.avoids_dear = false;
@@ -96,6 +97,7 @@
             ++j.next_fresh;
         ++in_zone[m->zone];
         only_zone = m->zone;
+        if (j.wanted() == 0) return true;
         if (placing::covers(m->cpus_free, m->gpus_free, m->memory_free, need)) {
             heap.push_back(rated(m));
             std::push_heap(heap.begin(), heap.end());
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -103,7 +103,7 @@
     std::vector<std::uint32_t> soon_free = outlook_.places_soon_free();
     auto supply = [&](Job* j) {
         Need need = placing::need_of(*j);
-        std::uint32_t tasks = std::min(j->unstarted(), rules_.room_in_limit(*j));
+        std::uint32_t tasks = std::min(j->wanted(), rules_.room_in_limit(*j));
         if (j->gang() && tasks < j->spec.tasks) return;
         if (j->spec.shape == wire::Shape::array) {
             for (Index t = 0; t < soon_free.size() && t < j->allowed_type.size(); ++t) {
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -264,4 +264,33 @@
     }
 }
 
+// A job that was submitted with a mistake fails everywhere until it is cancelled: it takes one
+// place at a time, no machine is blamed for it, and other work is served as ever.
+TEST(Dispatch, AJobWithAMistakeTakesLittleAndBlamesNoMachine) {
+    for (std::uint64_t seed : {911, 912, 913}) {
+        SCOPED_TRACE(seed);
+        World world(seed, {});
+        wire::Json bad = job("job-0", "sweep", 60, 1);
+        world.spoil("job-0");
+        world.submit(bad);
+        world.run_until(60'000);
+        const std::size_t first = world.starts();
+        for (int n = 1; n <= 6; ++n) {
+            wire::Json good = job("job-" + std::to_string(n), "sweep", 10, 1);
+            good["crew"] = "blue";
+            world.submit(good);
+            world.run_until(world.now() + 20'000);
+        }
+        world.run_until(300'000);
+        for (int n = 1; n <= 6; ++n)
+            EXPECT_EQ(world.final_state("job-" + std::to_string(n)), "done") << n;
+        EXPECT_LE(world.starts(), first + 60 + 12);  // all of the others', few of its own
+        for (const auto* m : world.leader()->roster().all())
+            EXPECT_TRUE(m->failed_jobs.empty()) << m->name;
+        world.cancel("job-0");
+        world.run_until(360'000);
+        EXPECT_EQ(world.final_state("job-0"), "withdrawn");
+    }
+}
+
 }  // namespace
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -851,7 +851,7 @@
             t.waits_until = now_ + seconds(settings_.gang_wait_s);
             t.done_at = now_ + 3000 + delay(9000);
             check_start(m, id);
-            if (m.sick) {
+            if (m.sick || spoilt_.count(id.first) != 0) {
                 t.phase = "exited";
                 t.cause = "error";
             }
--- a/tests/world.h
+++ b/tests/world.h
@@ -69,6 +69,8 @@
     void run_until(Millis t);
     void submit(const wire::Json& spec);
     void cancel(const std::string& id);
+    // It was submitted with a mistake: all its tasks fail.
+    void spoil(const std::string& id) { spoilt_.insert(id); }
     void calm() { trouble_ = {}; }
     void begin(Trouble trouble) { trouble_ = trouble; }
     std::size_t returned(const std::string& zone = "") const;  // machines, to the cloud
@@ -235,6 +237,7 @@
     std::vector<wire::MachineType> types_;
     std::uint64_t term_ = 0;
     std::map<std::string, wire::JobSpec> specs_;
+    std::set<std::string> spoilt_;
     std::set<std::string> unwanted_;           // their users asked to cancel them
     std::map<std::string, Millis> cancelled_;  // and were told when
     std::set<TaskId> done_;
