A leader that is cut off with its zone goes on answering it

Change: only a leader that the state service refuses, while others say that they are served, hands over, as before. The seat of one that is cut off falls free by itself.

Serving's test names the case.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -454,8 +454,8 @@
         prune_at_ = now() + kPruneEvery;
         prune_workers();
     }
-    if (serving_.others_served() && election_.state() == leadership::State::doubting) {
-        election_.step_down("the state service does not serve this node alone", kRest);
+    if (serving_.hands_over() && election_.state() == leadership::State::doubting) {
+        election_.step_down("the state service refuses this node alone", kRest);
     }
 }
 
--- a/src/serving/serving.cpp
+++ b/src/serving/serving.cpp
@@ -29,7 +29,8 @@
 }
 
 State Serving::judge(bool types_known, const state::Health& health,
-                     const std::vector<PeerNews>& peers, Millis now) const {
+                     const std::vector<PeerNews>& peers, Millis now) {
+    others_served_ = false;
     if (!types_known) return State::starting;
     const bool refuses = health.refused_since >= 0;
     const Millis since = refuses ? health.refused_since : health.unanswered_since;
@@ -38,8 +39,9 @@
     bool heard = false;
     for (const PeerNews& p : peers) {
         heard |= now - p.heard_at < peers::kPeerFresh;
-        if (peers::served_meanwhile(since, p.answered_at, p.heard_at, now)) return alone;
+        others_served_ |= peers::served_meanwhile(since, p.answered_at, p.heard_at, now);
     }
+    if (others_served_) return alone;
     // Nobody is there to say that the outage is everybody's: it had better be taken for this
     // node's.
     return heard || others_ == 0 ? State::outage : alone;
--- a/src/serving/serving.h
+++ b/src/serving/serving.h
@@ -41,18 +41,21 @@
     State state() const { return state_; }
     // In an outage that everybody has, all stay ready.
     bool ready() const { return state_ == State::serving || state_ == State::outage; }
-    // Others could do what this controller cannot.
-    bool others_served() const { return state_ == State::refused || state_ == State::cut_off; }
+    // It had better hand over. Not when it is cut off: its zone's machines may be in there with it,
+    // and as long as it may it goes on answering them (docs/design/domains.md). The seat falls free
+    // by itself.
+    bool hands_over() const { return state_ == State::refused && others_served_; }
 
   private:
     State judge(bool types_known, const state::Health& health, const std::vector<PeerNews>& peers,
-                Millis now) const;
+                Millis now);
     void set_state(State s, Millis now);
 
     std::size_t others_;
     State state_ = State::starting;
     Millis since_;
     Millis say_at_ = 0;
+    bool others_served_ = false;  // as they themselves say
 };
 
 }  // namespace nickelramp::serving
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -241,6 +241,7 @@
         state::Health health;
         std::vector<serving::PeerNews> peers;
         State state;
+        bool hands_over = false;
     };
     const Millis now = 100'000;
     const state::Health well{}, refused{95'000, -1}, silent{-1, 95'000}, just{99'000, -1};
@@ -250,7 +251,7 @@
         {well, {served, served}, State::serving},
         {well, {lost, lost}, State::serving},
         {just, {lost, lost}, State::serving},
-        {refused, {served, not_served}, State::refused},
+        {refused, {served, not_served}, State::refused, true},
         {refused, {not_served, not_served}, State::outage},
         {refused, {not_served, lost}, State::outage},
         {refused, {lost, lost}, State::refused},
@@ -262,6 +263,9 @@
     for (const Case& c : cases) {
         serving::Serving s(2, 0);
         EXPECT_EQ(s.look(true, c.health, c.peers, {}, now), c.state);
+        // Cut off with its zone's machines, a leader goes on answering them: handing over at once
+        // once cost 700 tasks their leases.
+        EXPECT_EQ(s.hands_over(), c.hands_over);
         EXPECT_EQ(s.ready(), c.state == State::serving || c.state == State::outage);
     }
     serving::Serving alone(0, 0);  // the only controller that there is
