--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -7,6 +7,7 @@
 
 #include "drain/desk.h"
 #include "net/address.h"
+#include "net/timed.h"
 #include "peers/standing.h"
 
 namespace nickelramp::app {
@@ -566,27 +567,27 @@
     h.clock = clock;
     h.leading = [this] { return leads(); };
     h.commit = [this](state::Txn txn, duties::Office::CommitDone done) {
-        state_.commit(txn, state::Urgency::control, kCommit, timed(std::move(done)),
+        state_.commit(txn, state::Urgency::control, kCommit, net::timed(loop_, std::move(done)),
                       while_lasting(leading_));
     };
     h.clean = [this](const duties::Permit<duties::Cleaning>& permit, const state::Txn& txn,
                      duties::Office::CommitDone done) {
-        state_.commit(txn, state::Urgency::work, kCommit, timed(std::move(done)),
+        state_.commit(txn, state::Urgency::work, kCommit, net::timed(loop_, std::move(done)),
                       [permit] { return permit.lasts(); });
     };
     h.list = [this](const std::string& prefix, duties::Office::ListDone done) {
-        state_.list(prefix, state::Urgency::control, timed(std::move(done)));
+        state_.list(prefix, state::Urgency::control, net::timed(loop_, std::move(done)));
     };
     h.page = [this](const std::string& prefix, const std::string& after, std::size_t most,
                     duties::Office::ListDone done) {
-        state_.page(prefix, after, most, state::Urgency::work, timed(std::move(done)));
+        state_.page(prefix, after, most, state::Urgency::work, net::timed(loop_, std::move(done)));
     };
     h.spare = [this] { return state_.spare(); };
     h.take_hold = [this](Millis life, duties::Office::LeaseDone done) {
-        state_.lease(life, timed(std::move(done)));
+        state_.lease(life, net::timed(loop_, std::move(done)));
     };
     h.renew_hold = [this](std::uint64_t hold, duties::Office::LeaseDone done) {
-        state_.renew(hold, kCommit, timed(std::move(done)));
+        state_.renew(hold, kCommit, net::timed(loop_, std::move(done)));
     };
     h.end_hold = [this](std::uint64_t hold) { state_.end_lease(hold); };
     h.charge = [this](const std::string& peer, const peers::Charge& m) { order(peer, m); };
@@ -596,7 +597,8 @@
     };
     h.hire = [this](const duties::Permit<duties::Renting>& permit, const duties::Intent& i,
                     duties::Office::HireDone done) {
-        cloud_.hire(permit, i.name, i.type, i.zone, i.spot, i.count, timed(std::move(done)));
+        cloud_.hire(permit, i.name, i.type, i.zone, i.spot, i.count,
+                    net::timed(loop_, std::move(done)));
     };
     h.give_back = [this](const duties::Permit<duties::Returning>& permit,
                          const std::vector<std::string>& machines, duties::Office::HireDone done) {
@@ -670,18 +672,18 @@
 
 void Node::Box::commit(state::Txn txn,
                        std::function<void(Millis, const state::CommitReply&)> done) {
-    node_.state_.commit(txn, txn.urgency, kCommit, node_.timed(std::move(done)),
+    node_.state_.commit(txn, txn.urgency, kCommit, net::timed(node_.loop_, std::move(done)),
                         while_lasting(deciding_));
 }
 
 void Node::Box::read(const std::string& key,
                      std::function<void(Millis, const state::GetReply&)> done) {
-    node_.state_.get(key, state::Urgency::work, kCommit, node_.timed(std::move(done)));
+    node_.state_.get(key, state::Urgency::work, kCommit, net::timed(node_.loop_, std::move(done)));
 }
 
 void Node::Box::list(const std::string& prefix,
                      std::function<void(Millis, const state::ListReply&)> done) {
-    node_.state_.list(prefix, state::Urgency::work, node_.timed(std::move(done)));
+    node_.state_.list(prefix, state::Urgency::work, net::timed(node_.loop_, std::move(done)));
 }
 
 void Node::Box::direct(const std::string& machine, const std::string& address, std::uint64_t token,
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -109,11 +109,6 @@
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
     // Read at acts: what the loop knows of the time may be from before a freeze.
     static Millis clock() { return static_cast<Millis>(uv_hrtime() / 1'000'000); }
-    // The answer with the time at which it came.
-    template <typename Done>
-    auto timed(Done done) {
-        return [this, done = std::move(done)](const auto& r) { done(now(), r); };
-    }
     std::int64_t wall_ms() const;
     duties::Office::Hooks office_hooks();
     duties::Right leads() const;
--- a/src/jobs/answers.cpp
+++ b/src/jobs/answers.cpp
@@ -83,12 +83,12 @@
     std::move(waiting_.begin(), waiting_.end(), std::back_inserter(served_));
     waiting_.clear();
     if (revision_ == 0)
-        begin(now);
+        begin();
     else
-        read(now);
+        read();
 }
 
-void Answers::read(Millis) {
+void Answers::read() {
     set_state(AnswersState::reading);
     records_.changes(kPrefix, revision_,
                      [this](Millis t, const state::ListReply& r) { on_changes(r, t); });
@@ -96,15 +96,12 @@
 
 // Nothing that is kept is true of a known revision. What is asked meanwhile is looked up one by
 // one.
-void Answers::begin(Millis now) {
+void Answers::begin() {
     set_state(AnswersState::starting);
     ++generation_;
     young_.clear();
     old_.clear();
-    auto served = std::exchange(served_, {});
-    std::unordered_map<std::string, std::vector<Question>> by_id;
-    for (Question& q : served) by_id[q.id].push_back(std::move(q));
-    for (auto& [id, questions] : by_id) look_up(id, std::move(questions), now);
+    look_up_all(std::exchange(served_, {}));
     records_.revision([this](Millis t, const state::ListReply& r) {
         if (r.outcome == state::Outcome::ok) revision_ = r.revision;
         go_on(t);
@@ -130,26 +127,32 @@
         if (auto told = read_told(i.value, i.version)) keep(i.key.substr(kPrefixLength), *told);
     }
     revision_ = std::max(revision_, r.revision);
-    std::unordered_map<std::string, std::vector<Question>> unknown;
+    std::vector<Question> unknown;
     for (Question& q : served) {
         if (const Told* told = find(q.id))
             q.done(Found::told, Told(*told));
         else
-            unknown[q.id].push_back(std::move(q));
+            unknown.push_back(std::move(q));
     }
-    for (auto& [id, questions] : unknown) look_up(id, std::move(questions), now);
+    look_up_all(std::move(unknown));
     go_on(now);
 }
 
+void Answers::look_up_all(std::vector<Question> questions) {
+    std::unordered_map<std::string, std::vector<Question>> by_id;
+    for (Question& q : questions) by_id[q.id].push_back(std::move(q));
+    for (auto& [id, same] : by_id) look_up(id, std::move(same));
+}
+
 // A job whose record has not changed since this node follows them.
-void Answers::look_up(const std::string& id, std::vector<Question> questions, Millis) {
+void Answers::look_up(const std::string& id, std::vector<Question> questions) {
     auto [it, fresh] = looked_up_.try_emplace(id);
     // One that is under way may have been executed before these came; it is asked again after it.
     std::move(questions.begin(), questions.end(), std::back_inserter(it->second));
     if (!fresh) return;
     const std::size_t asked = it->second.size();
     records_.get(job_key(id), [this, id, asked, based = revision_ != 0, g = generation_](
-                                  Millis t, const state::GetReply& r) {
+                                  Millis, const state::GetReply& r) {
         auto node = looked_up_.extract(id);
         std::vector<Question> all = std::move(node.mapped());
         std::vector<Question> later;
@@ -161,7 +164,7 @@
         // Whatever has changed it since this was asked is known by now, if changes were followed by
         // then: a lookup of before the first revision may be older than that.
         if (told && based && g == generation_ && find(id) == nullptr) keep(id, *told);
-        if (!later.empty()) look_up(id, std::move(later), t);
+        if (!later.empty()) look_up(id, std::move(later));
         for (Question& q : all) {
             if (told)
                 q.done(Found::told, *told);
--- a/src/jobs/answers.h
+++ b/src/jobs/answers.h
@@ -69,10 +69,11 @@
     };
     void set_state(AnswersState s);
     void go_on(Millis now);
-    void read(Millis now);
-    void begin(Millis now);
+    void read();
+    void begin();
     void on_changes(const state::ListReply& r, Millis now);
-    void look_up(const std::string& id, std::vector<Question> questions, Millis now);
+    void look_up_all(std::vector<Question> questions);
+    void look_up(const std::string& id, std::vector<Question> questions);
     void keep(const std::string& id, const Told& told);
     const Told* find(const std::string& id) const;
 
--- a/src/jobs/confirmed.cpp
+++ b/src/jobs/confirmed.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "net/timed.h"
+
 namespace nickelramp::jobs {
 
 namespace {
@@ -23,16 +25,17 @@
 
 void Confirmed::changes(const std::string& prefix, std::uint64_t after,
                         std::function<void(Millis, const state::ListReply&)> done) {
-    client_.changes(prefix, after, state::Urgency::first, kTimeout, timed(std::move(done)));
+    client_.changes(prefix, after, state::Urgency::first, kTimeout,
+                    net::timed(loop_, std::move(done)));
 }
 
 void Confirmed::get(const std::string& key,
                     std::function<void(Millis, const state::GetReply&)> done) {
-    client_.get(key, state::Urgency::user, kTimeout, timed(std::move(done)));
+    client_.get(key, state::Urgency::user, kTimeout, net::timed(loop_, std::move(done)));
 }
 
 void Confirmed::revision(std::function<void(Millis, const state::ListReply&)> done) {
-    client_.page("job/", "", 1, state::Urgency::first, timed(std::move(done)));
+    client_.page("job/", "", 1, state::Urgency::first, net::timed(loop_, std::move(done)));
 }
 
 }  // namespace nickelramp::jobs
--- a/src/jobs/confirmed.h
+++ b/src/jobs/confirmed.h
@@ -26,11 +26,6 @@
              std::function<void(Millis, const state::GetReply&)> done) override;
     void revision(std::function<void(Millis, const state::ListReply&)> done) override;
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
-    // The answer with the time at which it came.
-    template <typename Done>
-    auto timed(Done done) {
-        return [this, done = std::move(done)](const auto& r) { done(now(), r); };
-    }
 
     uv_loop_t* loop_;
     state::Client& client_;
--- a/src/leadership/runner.cpp
+++ b/src/leadership/runner.cpp
@@ -1,5 +1,7 @@
 #include "leadership/runner.h"
 
+#include "net/timed.h"
+
 namespace nickelramp::leadership {
 
 namespace {
@@ -28,29 +30,29 @@
 
 void Runner::list(const std::string& prefix,
                   std::function<void(Millis, const state::ListReply&)> done) {
-    client_.list(prefix, state::Urgency::control, timed(std::move(done)));
+    client_.list(prefix, state::Urgency::control, net::timed(loop_, std::move(done)));
 }
 
 void Runner::watch(const std::string& prefix, std::uint64_t after, Millis wait,
                    std::function<void(Millis, const state::ListReply&)> done) {
-    client_.watch(prefix, after, wait, timed(std::move(done)));
+    client_.watch(prefix, after, wait, net::timed(loop_, std::move(done)));
 }
 
 void Runner::get(const std::string& key, std::function<void(Millis, const state::GetReply&)> done) {
-    client_.get(key, state::Urgency::control, kCall, timed(std::move(done)));
+    client_.get(key, state::Urgency::control, kCall, net::timed(loop_, std::move(done)));
 }
 
 void Runner::commit(const state::Txn& txn,
                     std::function<void(Millis, const state::CommitReply&)> done) {
-    client_.commit(txn, state::Urgency::control, kCall, timed(std::move(done)));
+    client_.commit(txn, state::Urgency::control, kCall, net::timed(loop_, std::move(done)));
 }
 
 void Runner::lease(Millis life, std::function<void(Millis, const state::LeaseReply&)> done) {
-    client_.lease(life, timed(std::move(done)));
+    client_.lease(life, net::timed(loop_, std::move(done)));
 }
 
 void Runner::renew(std::uint64_t hold, std::function<void(Millis, const state::LeaseReply&)> done) {
-    client_.renew(hold, kCall, timed(std::move(done)));
+    client_.renew(hold, kCall, net::timed(loop_, std::move(done)));
 }
 
 }  // namespace nickelramp::leadership
--- a/src/leadership/runner.h
+++ b/src/leadership/runner.h
@@ -35,11 +35,6 @@
     void end_lease(std::uint64_t hold) override { client_.end_lease(hold); }
     void wake(Millis at);
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
-    // The answer with the time at which it came.
-    template <typename Done>
-    auto timed(Done done) {
-        return [this, done = std::move(done)](const auto& r) { done(now(), r); };
-    }
 
     uv_loop_t* loop_;
     state::Client& client_;
