--- a/src/state/client.cpp
+++ b/src/state/client.cpp
@@ -159,16 +159,23 @@
             }
             requests_left_ -= 1;
             writes_left_ -= c.writes;
-            Call call = std::move(c);
+            auto call = std::make_shared<Call>(std::move(c));
             queue.pop_front();
             asked();
             calls_.request(
-                call.method, call.target, std::move(call.body), call.deadline - t,
-                [this, done = std::move(call.done)](const net::Reply& r) {
+                call->method, call->target, call->body, call->deadline - t,
+                [this, call, &queue](const net::Reply& r) {
                     note_call(r);
-                    done(r);
+                    // There was too much for a moment: its turn comes again, before the others'.
+                    if (r.outcome == net::Reply::Outcome::answered && r.status == 429 &&
+                        now() + kBackOff < call->deadline) {
+                        queue.push_front(std::move(*call));
+                        pump();
+                    } else {
+                        call->done(r);
+                    }
                 },
-                std::move(call.may));
+                call->may);
         }
         if (waiting) break;
     }
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -201,6 +201,18 @@
     EXPECT_EQ(ask(user, "GET", "/work/job-2").status, 404);
 }
 
+// A submission that the state service had no room for at that moment was once sent back to its
+// user, who comes again a second later, while there was room for it the next moment.
+TEST_F(DeskOnLoopback, AMomentOfTooMuchIsWaitedOut) {
+    standin.too_many = 2;
+    const net::Reply r =
+        ask(user, "POST", "/work", wire::encode(test::job("job-1", "sweep", 2, 1)));
+    EXPECT_EQ(r.status, 201);
+    EXPECT_EQ(standin.too_many, 0);
+    EXPECT_EQ(standin.commits, 1);
+    EXPECT_EQ(status_of(ask(user, "GET", "/work/job-1")), "pending");
+}
+
 TEST_F(DeskOnLoopback, AnUnknownOutcomeIsNoAnswer) {
     std::string body = wire::encode(test::job("job-1", "sweep", 2, 1));
     standin.swallow_next = true;
--- a/tests/standin.cpp
+++ b/tests/standin.cpp
@@ -100,6 +100,7 @@
         return;
     }
     if (down) return r.send(reply(503, Json::object()));
+    if (too_many > 0 && --too_many >= 0) return r.send(reply(429, Json::object()));
     if (q.path == "/commit") return commit(*wire::decode_map(q.body), r);
     if (q.path == "/holds") {
         holds_[next_hold_] = true;
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -17,6 +17,7 @@
     StateStandin(uv_loop_t* loop, int port);
 
     bool down = false;          // everything gets 503; watches wait
+    int too_many = 0;           // so many requests are answered 429
     bool swallow_next = false;  // the next transaction is applied, but nobody is told
     std::size_t commits = 0;
     bool has(const std::string& key) const { return keys_.count(key) != 0; }
