The gap in the tests' world; machines that answers reach and commands do not

tests/world has seats: holds that end, a state service that refuses the leader alone or is down for all, old leaders that go on as their clocks allow.

Hearing::partly: what was placed on such a machine waited for a start that never came, over and over. It keeps what it has, gets nothing new, hears orders in answers and goes back when it is empty; the test fails without it.

--- a/src/book/machines.cpp
+++ b/src/book/machines.cpp
@@ -79,14 +79,18 @@
     using workers::Hearing;
     if (h == m.hearing) return;
     if (h == Hearing::deaf) spdlog::info("machine {} is heard, but nothing reaches it", m.name);
-    const bool was = m.hearing != Hearing::sound, is = h != Hearing::sound;
+    if (h == Hearing::partly) spdlog::info("machine {} hears answers, but no commands", m.name);
+    // One that answers reach runs on with all that it has.
+    auto out_of_reach = [](Hearing x) { return x == Hearing::silent || x == Hearing::deaf; };
+    const bool was = out_of_reach(m.hearing), is = out_of_reach(h);
     m.hearing.own() = h;
-    if (was == is) return;
-    listener_.machines_counted(m.zone, 0, is ? 1 : -1);
-    if (is)
-        silent_.insert(m.index);
-    else
-        silent_.erase(m.index);
+    if (was != is) {
+        listener_.machines_counted(m.zone, 0, is ? 1 : -1);
+        if (is)
+            silent_.insert(m.index);
+        else
+            silent_.erase(m.index);
+    }
     refresh(m);
     touch();
 }
--- a/src/dispatch/courier.cpp
+++ b/src/dispatch/courier.cpp
@@ -177,13 +177,13 @@
         if (lost) {
             // Commands may be under way. A higher token makes them harmless once it is confirmed.
             raise_token(*m, now);
+            m->contact.unanswered(now);
         }
         // Heard from afar only, perhaps long gone: the next report asks again.
         if (m->up_at == 0 && m->direct_failures > 1) m->wants_confirm = false;
         // Hundreds that cannot be reached are not probed as one is.
-        m->retry_direct_at = now + (silence_.shut(m->zone) ? kRetryDark
-                                    : lost                 ? kRetryUnknown
-                                                           : kRetryRefused);
+        const bool rarely = silence_.shut(m->zone) || m->hearing == workers::Hearing::partly;
+        m->retry_direct_at = now + (rarely ? kRetryDark : lost ? kRetryUnknown : kRetryRefused);
     }
     poke(*m);
     flush(now);
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -84,7 +84,10 @@
     }
     if (m.idle_since == 0) m.idle_since = now;
     bool over = m.state == MachineState::draining && m.warned_until == 0;
-    if (m.open() && m.reserved_for == kNone && now - m.idle_since > supply_.idle_keep(m, now)) {
+    if (m.hearing == workers::Hearing::partly && m.attempts.empty()) {
+        book_.give_back(m, "hears no commands");
+    } else if (m.open() && m.reserved_for == kNone &&
+               now - m.idle_since > supply_.idle_keep(m, now)) {
         book_.give_back(m, "is idle");
     } else if (over) {
         book_.give_back(m, "is drained");
--- a/src/workers/contact.cpp
+++ b/src/workers/contact.cpp
@@ -17,7 +17,7 @@
 }
 
 const char* name(Hearing h) {
-    static const char* names[] = {"sound", "silent", "deaf"};
+    static const char* names[] = {"sound", "silent", "deaf", "partly"};
     return names[static_cast<int>(h)];
 }
 
@@ -72,6 +72,7 @@
 Proof Contact::answered(const wire::Report& r, const Mark& asked, Millis sent, Millis now) {
     const Mark mark{r.session, r.seq};
     reach(sent);
+    unanswered_since_ = 0;
     // Made after it was asked, and yet not beyond what was known then.
     if (mark <= asked || life_doubted_) {
         newest_ = mark;
@@ -88,6 +89,10 @@
     return Proof::fresh;
 }
 
+void Contact::unanswered(Millis now) {
+    if (unanswered_since_ == 0) unanswered_since_ = now;
+}
+
 void Contact::answer(Millis lease, Millis now) {
     answered_session_ = newest_.session;
     lapse_before_ = now + lease - kWorkerWaits - kSlack;
@@ -98,7 +103,11 @@
 }
 
 Hearing Contact::hearing(Millis patience, Millis now) const {
-    if (!lapsed_ && now - reached_at_ <= patience) return Hearing::sound;
+    if (!lapsed_ && now - reached_at_ <= patience) {
+        // It was reached meanwhile, so by answers alone.
+        const bool lost = unanswered_since_ != 0 && now - unanswered_since_ > patience;
+        return lost ? Hearing::partly : Hearing::sound;
+    }
     const bool heard_since = heard_at_ > reached_at_ + patience;
     return heard_since || lapsed_ ? Hearing::deaf : Hearing::silent;
 }
--- a/src/workers/contact.h
+++ b/src/workers/contact.h
@@ -24,7 +24,8 @@
 // sound:  what we send reaches it, as far as is known
 // silent: nothing shows that it is there
 // deaf:   its reports arrive, but answers or commands do not reach it
-enum class Hearing { sound, silent, deaf };
+// partly: answers to its reports reach it, and keep its lease; commands do not
+enum class Hearing { sound, silent, deaf, partly };
 const char* name(Hearing h);
 
 // A message's place in the order of all that the worker says.
@@ -46,6 +47,8 @@
     Proof reported(const wire::Report& r, bool follows, Millis now);
     // The answer to what was sent then, when `asked` was the newest known.
     Proof answered(const wire::Report& r, const Mark& asked, Millis sent, Millis now);
+    // A command was lost: the worker may have got it or not, and has not answered.
+    void unanswered(Millis now);
     Mark asked() const { return newest_ > reported_ ? newest_ : reported_; }
 
     // A report was answered 200: if that arrives, the lease lasts a lease from the report on.
@@ -75,7 +78,8 @@
     std::uint64_t floor_ = 0;  // what echoes this or more was made under us
     std::uint64_t given_ = 0;  // the last token given out
     Millis given_at_ = 0, reached_at_ = 0, heard_at_ = 0;
-    Millis doubted_at_ = 0;  // the first report since it was last reached; 0: none
+    Millis unanswered_since_ = 0;  // the first command lost since one was answered; 0: none
+    Millis doubted_at_ = 0;        // the first report since it was last reached; 0: none
     std::uint64_t answered_session_ = 0;
     Millis lapse_before_ = 0;  // had the last answer arrived, that session would last until then
     bool lapsed_ = false;
--- a/tests/evidence_test.cpp
+++ b/tests/evidence_test.cpp
@@ -177,6 +177,51 @@
     }
 }
 
+// Answers reach it, and keep its lease; commands do not. Without a name of its own it looked sound:
+// what was placed on it waited for a start that never came, over and over.
+TEST(Evidence, AMachineThatHearsNoCommandsKeepsWhatItHasAndGetsNothingNew) {
+    Contact c;
+    c.begin(10, 1'000);
+    EXPECT_EQ(c.answered(report(1, 1, 10), {}, 1'000, 1'001), Proof::fresh);
+    c.unanswered(2'000);
+    EXPECT_EQ(c.reported(report(1, 2, 10), true, 6'900), Proof::fresh);
+    EXPECT_EQ(c.hearing(5'000, 7'000), Hearing::sound);
+    EXPECT_EQ(c.hearing(5'000, 7'001), Hearing::partly);
+    EXPECT_EQ(c.answered(report(1, 3, 10), c.asked(), 7'100, 7'101), Proof::fresh);
+    EXPECT_EQ(c.hearing(5'000, 7'102), Hearing::sound);
+    for (std::uint64_t seed : {14, 15, 16}) {
+        SCOPED_TRACE(seed);
+        auto world = town(seed);
+        const std::string name = world->working_machines().front();
+        const std::size_t killed = world->killed_by_lease();
+        world->mute(name, kNever);
+        // All of the other machines' tasks end or are lost: only this one looks free.
+        for (const std::string& other : world->working_machines())
+            if (other != name) world->mute(other, world->now() + 4'000);
+        for (int n = 10; n < 16; ++n) {
+            wire::Json more = job("job-" + std::to_string(n), "sweep", 4, 1);
+            more["crew"] = "blue";
+            world->submit(more);
+        }
+        world->take_over();  // a new leader finds it so, too
+        world->run_until(world->now() + 60'000);
+        std::size_t named = 0;
+        for (const auto* m : world->leader()->roster().all())
+            named += m->hearing == Hearing::partly ? 1 : 0;
+        EXPECT_EQ(named, world->removed(name) ? 0u : 1u);
+        EXPECT_EQ(world->killed_by_lease(), killed);
+        for (int n = 10; n < 16; ++n)
+            EXPECT_EQ(world->final_state("job-" + std::to_string(n)), "done") << n;
+        // Orders in answers still work, and what is empty goes back.
+        world->cancel("job-1");
+        world->cancel("job-2");
+        world->cancel("job-3");
+        world->run_until(world->now() + 30'000);
+        EXPECT_FALSE(world->final_state("job-1").empty());
+        EXPECT_TRUE(world->removed(name));
+    }
+}
+
 // Given up by rations, as any trouble that a zone's machines share; when it is over, those that are
 // left are sound again.
 TEST(Evidence, ADeafZoneIsNotGivenUpAtOnce) {
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -161,10 +161,23 @@
     n.world = this;
     n.term = term_;
     n.leads = true;
+    load(index);
+}
+
+// The new leader reads the records.
+void World::load(std::size_t index) {
+    Node& n = *nodes_[index];
+    if (!n.leads) return;
+    if (!served(n)) {
+        at(now_ + 500, [this, index] { load(index); });
+        return;
+    }
+    n.view = now_;
     book::Outbox& outbox = n;
     n.book = std::make_unique<dispatch::Dispatcher>(
-        settings_, dispatch::TermInfo{term_, "lead/term", keys_["lead/term"].version}, outbox,
+        settings_, dispatch::TermInfo{n.term, "lead/term", keys_["lead/term"].version}, outbox,
         now_);
+    if (seats_) n.book->confirm_until(n.trust_until);
     n.book->load_types(types_);
     for (duties::Duty d : duties::kAll) {
         set_key(duties::duty_key(d), Json{{"holder", "node"}});
@@ -200,9 +213,93 @@
     at(now_ + 100, [this, index] { tick_node(index); });
 }
 
+// --- seats
+
+void World::hold_seats() {
+    seats_ = true;
+    for (auto& n : nodes_) {
+        if (n->leads) n->hold_end = now_ + duties::kHoldLife;
+    }
+    tend_seats();
+}
+
+bool World::answers(const Node& n) const {
+    return now_ >= n.frozen_until && now_ < n.view + n.book->answer_for();
+}
+
+// Renewals, the watch that dates a leader's view, and the end of holds.
+void World::tend_seats() {
+    at(now_ + 300, [this] { tend_seats(); });
+    if (!state_up()) return;
+    bool seated = false;
+    for (auto& n : nodes_) {
+        if (n->term == 0 || n->term != term_ || !n->leads) continue;
+        if (now_ >= n->refused_until && now_ >= n->frozen_until && now_ < n->hold_end) {
+            n->hold_end = now_ + duties::kHoldLife;
+            n->trust_until = now_ - 20 + shorter(duties::kHoldLife);
+            if (n->book) n->book->confirm_until(n->trust_until);
+            if (now_ - n->view > 1'700) n->view = now_ - 200;
+        }
+        seated |= now_ < n->hold_end;
+    }
+    // Whoever lost it hears so when it hears the state service again.
+    for (auto& n : nodes_) {
+        if (!n->book || (n->leads && seated) || now_ < n->frozen_until || !served(*n)) continue;
+        n->leads = false;
+        n->book.reset();
+    }
+    if (seated) return;
+    for (auto& n : nodes_) n->leads = false;
+    take_over();
+    Node& n = *nodes_.back();
+    n.hold_end = now_ + duties::kHoldLife;
+    n.trust_until = now_ - 20 + shorter(duties::kHoldLife);
+}
+
+void World::refuse_leader(Millis length) {
+    for (auto& n : nodes_) {
+        if (n->leads) n->refused_until = now_ + length;
+    }
+}
+
+void World::state_down(Millis length) {
+    const Millis until = now_ + length;
+    down_until_ = std::max(down_until_, until);
+    at(until, [this] {
+        for (auto& n : nodes_) {
+            // Every hold that had not ended has its full time again.
+            if (n->leads && state_up()) n->hold_end = now_ + duties::kHoldLife;
+        }
+    });
+}
+
+void World::crash_leader() {
+    for (auto& n : nodes_) {
+        if (!n->leads) continue;
+        n->book.reset();
+        n->refused_until = kNever;  // nobody renews its hold
+    }
+}
+
+void World::freeze_leader(Millis length) {
+    for (auto& n : nodes_) {
+        if (n->leads) n->frozen_until = now_ + length;
+    }
+}
+
+void World::ask_to_cancel(const std::string& id) {
+    if (!final_state(id).empty()) return;
+    if (state_up() && unwanted_.count(id) == 0) cancel(id);
+    at(now_ + 1'000, [this, id] { ask_to_cancel(id); });
+}
+
 void World::tick_node(std::size_t i) {
     Node& n = *nodes_[i];
-    if (!n.leads || !n.book) return;
+    if ((!n.leads && !seats_) || !n.book) return;
+    if (now_ < n.frozen_until) {
+        at(n.frozen_until + 1, [this, i] { tick_node(i); });
+        return;
+    }
     n.book->tick(now_);
     if (now_ % 4000 < 100 || !n.listed) {
         n.listed = true;
@@ -267,10 +364,14 @@
     keys_[key] = {value, ++revision_};
 }
 
-void World::tell_leader(const std::string& key) {
-    at(now_ + delay(20), [this, key] {
+void World::tell_leader(const std::string& key, Millis after) {
+    at(now_ + after + delay(20), [this, key] {
         auto it = keys_.find(key);
         if (leader() == nullptr || it == keys_.end()) return;
+        for (auto& n : nodes_) {
+            // The watch is answered when it can be.
+            if (n->leads && (!served(*n) || now_ < n->frozen_until)) return tell_leader(key, 500);
+        }
         leader()->on_open_record(*jobs::read_open(it->second.value), it->second.version, now_,
                                  now_);
         leader()->tick(now_);
@@ -307,6 +408,9 @@
     EXPECT_EQ(unwanted_.count(id), 1u) << "went_back: nobody cancelled " << id;
     EXPECT_NE(final_state(id), "done") << "went_back: " << id;
     cancelled_.emplace(id, now_);
+    told_beside_old_ += std::any_of(nodes_.begin(), nodes_.end(), [&](const auto& n) {
+        return n->book && n->term < term_ && answers(*n);
+    });
     for (auto& [name, m] : machines_) {
         step(*m);
         if (m->removed || m->dead) continue;
@@ -362,12 +466,20 @@
 void World::Node::commit(state::Txn txn,
                          std::function<void(Millis, const state::CommitReply&)> done) {
     World& w = *world;
+    if (!w.served(*this) || (w.seats_ && w.now_ >= trust_until)) {
+        state::CommitReply reply;
+        reply.outcome = state::Outcome::refused;
+        w.at(w.now_ + w.delay(10), [&w, reply, done] { done(w.now_, reply); });
+        return;
+    }
     const Millis held = w.blow();
     bool lost = held > 0 || w.chance(w.trouble_.lost_commit);
     Millis arrive =
         w.now_ + held + (held == 0 && lost && w.chance(0.5) ? w.delay(40'000) : w.delay(10));
     w.at(arrive, [&w, txn, done, lost] {
-        auto reply = w.apply(txn);
+        state::CommitReply reply;
+        reply.outcome = state::Outcome::refused;
+        if (w.state_up()) reply = w.apply(txn);
         if (!lost) w.at(w.now_ + w.delay(5), [&w, reply, done] { done(w.now_, reply); });
     });
     if (lost) w.at(w.now_ + 2500, [&w, done] { done(w.now_, state::CommitReply{}); });
@@ -376,8 +488,10 @@
 void World::Node::read(const std::string& key,
                        std::function<void(Millis, const state::GetReply&)> done) {
     World& w = *world;
-    w.at(w.now_ + w.delay(10), [&w, key, done] {
+    w.at(w.now_ + w.delay(10), [&w, this, key, done] {
         state::GetReply reply;
+        reply.outcome = state::Outcome::refused;
+        if (!w.served(*this)) return done(w.now_, reply);
         auto it = w.keys_.find(key);
         reply.outcome = it == w.keys_.end() ? state::Outcome::missing : state::Outcome::ok;
         if (it != w.keys_.end()) reply.item = {key, it->second.value, it->second.version, false};
@@ -388,8 +502,10 @@
 void World::Node::list(const std::string& prefix,
                        std::function<void(Millis, const state::ListReply&)> done) {
     World& w = *world;
-    w.at(w.now_ + w.delay(10 + w.trouble_.slow_lists), [&w, prefix, done] {
+    w.at(w.now_ + w.delay(10 + w.trouble_.slow_lists), [&w, this, prefix, done] {
         state::ListReply reply;
+        reply.outcome = state::Outcome::refused;
+        if (!w.served(*this)) return done(w.now_, reply);
         reply.outcome = state::Outcome::ok;
         for (auto& [key, stored] : w.keys_) {
             if (key.rfind(prefix, 0) != 0) continue;
@@ -403,6 +519,15 @@
                          std::uint64_t session, const std::vector<wire::Command>& commands,
                          std::function<void(Millis, const book::DirectReply&)> done) {
     World& w = *world;
+    const bool starts = std::any_of(commands.begin(), commands.end(),
+                                    [](const auto& c) { return c.op == wire::Command::Op::start; });
+    // What the gates of app::Node let through.
+    if (w.seats_ && (starts ? w.now_ >= trust_until : !w.answers(*this))) {
+        book::DirectReply reply;
+        reply.delivery = book::Delivery::refused;
+        w.at(w.now_ + 1, [&w, reply, done] { done(w.now_, reply); });
+        return;
+    }
     if (w.trouble_.refused_direct > 0 && w.chance(w.trouble_.refused_direct)) {
         book::DirectReply reply;
         reply.delivery = book::Delivery::refused;
@@ -421,7 +546,7 @@
     w.at(arrive, [&w, machine, token, session, commands, done, lost, replied] {
         auto it = w.machines_.find(machine);
         if (it == w.machines_.end() || !it->second->up || it->second->removed || it->second->dead ||
-            w.now_ < it->second->deaf_until)
+            w.now_ < it->second->deaf_until || w.now_ < it->second->mute_until)
             return;
         Machine& m = *it->second;
         book::DirectReply reply;
@@ -583,7 +708,10 @@
     dispatch::CheckinAnswer a;
     a.status = 503;
     if (n.holding && n.holding->holds(r.machine)) a = n.holding->on_checkin(r, follows, now_);
-    if (n.book && (n.leads || now_ < n.answers_until)) a = n.book->on_checkin(r, follows, now_);
+    if (n.book && (seats_ ? answers(n) : n.leads || now_ < n.answers_until)) {
+        a = n.book->on_checkin(r, follows, now_);
+        answers_by_old_ += a.status == 200 && n.term < term_ && seats_ ? 1 : 0;
+    }
     if (n.deputy && a.status != 200) {
         Millis heard = deputy_cut(node) ? n.leader_at : now_;
         n.deputy->look(heard, heard, now_);
--- a/tests/world.h
+++ b/tests/world.h
@@ -14,6 +14,7 @@
 #include "deputy/deputy.h"
 #include "dispatch/dispatcher.h"
 #include "dispatch/holding.h"
+#include "duties/lease.h"
 #include "wire/settings.h"
 
 namespace nickelramp::test {
@@ -76,6 +77,20 @@
     std::size_t returned(const std::string& zone = "") const;  // machines, to the cloud
     std::size_t lent() const { return lent_; }                 // grants that a holder took up
     void take_over();
+    // From here on leaders hold a seat as the state service sees it: it refuses one of them, or is
+    // down for all, holds end and are claimed, and whoever cannot hear of it goes on as its clock
+    // allows.
+    void hold_seats();
+    void refuse_leader(Millis length);  // the state service refuses it, and nobody else
+    void state_down(Millis length);
+    bool state_up() const { return now_ >= down_until_; }
+    void crash_leader();
+    void freeze_leader(Millis length);
+    // Its user asks, every second until the answer comes.
+    void ask_to_cancel(const std::string& id);
+    std::size_t told_beside_old_leaders() const { return told_beside_old_; }
+    std::size_t answers_by_old_leaders() const { return answers_by_old_; }
+    std::size_t terms() const { return term_; }
     void set_options(const admin::Options& options);
     void strike(std::size_t step, Blow blow) {
         strike_at_ = sends_ + step;
@@ -99,6 +114,8 @@
     void restart_machine(const std::string& name);
     // Its reports arrive; no answer and no command reaches it.
     void deafen(const std::string& name, Millis until) { machines_[name]->deaf_until = until; }
+    // Its reports are answered; no command reaches it.
+    void mute(const std::string& name, Millis until) { machines_[name]->mute_until = until; }
     const std::string& zone_of(const std::string& machine) { return machines_[machine]->zone; }
     std::vector<std::string> working_machines() const;
     std::size_t tasks_on(const std::string& machine) { return machines_[machine]->tasks.size(); }
@@ -131,7 +148,7 @@
         std::size_t target = 0;
         bool follows = false;  // its last report to that node was answered 200
         bool unanswered = false;
-        Millis deaf_until = 0;
+        Millis deaf_until = 0, mute_until = 0;
         std::size_t life = 0;
         wire::Report first, last;
         Millis hired_at = 0, removed_at = kNever;
@@ -152,6 +169,9 @@
         bool leads = false;
         bool listed = false;  // it has read the cloud's list
         Millis answers_until = 0;
+        // With seats: until when it certainly leads, by its own clock; what it has seen of the
+        // state service; when its hold ends there; until when it is refused, and stands still.
+        Millis trust_until = kNever, view = 0, hold_end = 0, refused_until = 0, frozen_until = 0;
         void commit(state::Txn, std::function<void(Millis, const state::CommitReply&)>) override;
         void read(const std::string&, std::function<void(Millis, const state::GetReply&)>) override;
         void list(const std::string&,
@@ -176,6 +196,11 @@
     };
 
     void at(Millis t, std::function<void()> f) { queue_.emplace(t, std::move(f)); }
+    void load(std::size_t index);
+    void tend_seats();
+    bool served(const Node& n) const { return state_up() && now_ >= n.refused_until; }
+    // It may answer workers, as far as it knows.
+    bool answers(const Node& n) const;
     bool chance(double p) { return std::uniform_real_distribution<double>(0, 1)(random_) < p; }
     Millis delay(Millis most) {
         return 1 + static_cast<Millis>(random_() % static_cast<unsigned>(most));
@@ -194,7 +219,7 @@
     std::vector<wire::Host> list() const;
     void told_cancelled(const std::string& id);
     void set_key(const std::string& key, const wire::Json& value);
-    void tell_leader(const std::string& key);
+    void tell_leader(const std::string& key, Millis after = 0);
     void start_holder(std::size_t n);
     void tick_holder(std::size_t n, std::uint64_t incarnation);
     void back_channel();
@@ -248,6 +273,9 @@
     std::size_t copies_ = 0, answered_copies_ = 0;
     std::vector<Cut> cuts_;
     std::size_t answered_by_deputies_ = 0;
+    bool seats_ = false;
+    Millis down_until_ = 0;
+    std::size_t told_beside_old_ = 0, answers_by_old_ = 0;
 
   public:
     std::size_t answered_by_deputies() const { return answered_by_deputies_; }
