A duty that was asked to be taken back is charged no more

Cause: a taking back without an answer may be carried out seconds later. Its leader read the record as it was, charged the holder again, and then found the record its own: two acted under one duty, also across a change of term, as the record then hangs on the leader's hold.

--- a/models/duties.pml
+++ b/models/duties.pml
@@ -3,7 +3,7 @@
  *
  * What is modelled: leadership as a right that its holder's own clock ends before the hold ends; a
  * duty's record with its holder and a fence that rises with every change; the move of the duty to
- * the other controller, whose transaction may be executed late or lost; charges that end by the
+ * the other controller and back, whose transactions may be executed late or lost; charges that end by the
  * helper's clock; records written on condition of term and fence; a pause between any two steps; a
  * cloud that executes rentals and returns whenever it likes, and whose answers nobody hears.
  *
@@ -14,6 +14,7 @@
  *   EARLY_END       the leader's hold ends while it may still act
  *   CHARGE_UNASKED  the helper is charged before the leader knows that the duty is moved
  *   TAKE_EARLY      the leader takes a duty back while the helper's charge may last
+ *   CHARGE_TAKEN    the helper is charged while a taking back from it may yet be executed
  */
 #define TERMS 3
 #define FENCES 4
@@ -26,6 +27,7 @@
 bool charge[3];             /* lasts, by the helper's own clock */
 byte charged[3];            /* the fence that it names */
 byte late_move = 0, move_to = 0; /* a transaction under way that moves the duty from that fence */
+byte late_take = 0, take_to = 0, take_term = 0; /* and one that takes it back */
 
 bool leaving = false, gone = false, going = false; /* the machine: on record, gone, asked for */
 byte work = 0;                                     /* the term that placed work on it */
@@ -54,6 +56,12 @@
 #define CHARGES_OVER(i) (!charge[i])
 #endif
 
+#ifdef CHARGE_TAKEN
+#define NOT_TAKEN(f) (true)
+#else
+#define NOT_TAKEN(f) (f != took)
+#endif
+
 #ifdef EARLY_END
 #define TERM_OVER (true)
 #else
@@ -67,6 +75,7 @@
 proctype Controller(byte me) {
     byte mine = 0;  /* its term */
     byte knows = 0; /* the duty's fence as this leader knows it */
+    byte took = 0;  /* the fence from which it has asked to take the duty back */
     bool knows_leaving = false;
     byte knows_rental = 0;
 
@@ -76,7 +85,7 @@
     :: atomic { leader == 0 && term < TERMS && !leads[me] ->
            term++; leader = me; leads[me] = true; mine = term; acts[me] = false;
            charge[me] = false; /* a helper that leads lets go */
-           knows = fence; knows_leaving = leaving; knows_rental = rental }
+           knows = fence; took = 0; knows_leaving = leaving; knows_rental = rental }
     :: atomic { leads[me] -> leads[me] = false; acts[me] = false; mine = 0 }
 
     /* The duty is vacant: claimed, on condition of the term. */
@@ -90,17 +99,18 @@
 #endif
        }
     /* What became of it is read: its own as before, or the other's. */
-    :: atomic { leads[me] && leader == me && holder == me && on_seat && fence == knows ->
-           acts[me] = true }
+    :: atomic { leads[me] && leader == me && holder == me && on_seat && !acts[me] ->
+           knows = fence; acts[me] = true }
     :: atomic { leads[me] && leader == me && holder == 3 - me && !on_seat && !acts[me] ->
            knows = fence }
     /* Its helper is charged, again and again. */
-    :: atomic { leads[me] && !acts[me] && knows == fence && holder == 3 - me && !on_seat ->
+    :: atomic { leads[me] && !acts[me] && knows == fence && holder == 3 - me && !on_seat && NOT_TAKEN(knows) ->
            charge[3 - me] = true; charged[3 - me] = knows }
     :: atomic { charge[me] -> charge[me] = false } /* by its own clock */
     /* Taken back once charges must be over. */
     :: atomic { leads[me] && leader == me && holder == 3 - me && !on_seat && knows == fence &&
-           fence < FENCES && CHARGES_OVER(3 - me) -> fence++; holder = me; on_seat = true; knows = fence; acts[me] = true }
+           late_take == 0 && CHARGES_OVER(3 - me) ->
+           late_take = fence; take_to = me; take_term = mine; took = fence }
 
     /* Work is placed on the machine, if it is not known to leave; its checkpoint is conditional. */
     :: leads[me] && !gone && work == 0 && !knows_leaving ->
@@ -138,6 +148,10 @@
     :: atomic { late_move != 0 && holder != 0 && fence == late_move && on_seat &&
            fence < FENCES -> fence++; holder = move_to; on_seat = false; late_move = 0 }
     :: atomic { late_move != 0 -> late_move = 0 }
+    :: atomic { late_take != 0 && holder != 0 && fence == late_take && !on_seat && term == take_term &&
+           leader == take_to && fence < FENCES ->
+           fence++; holder = take_to; on_seat = true; late_take = 0 }
+    :: atomic { late_take != 0 -> late_take = 0 }
     /* Records are written late, on condition of term and fence, or not at all. */
     :: atomic { leave_term != 0 && ON_CONDITION(leave_term, leave_fence) ->
            leaving = true; leave_term = 0 }
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -84,7 +84,8 @@
     }
     if (m.idle_since == 0) m.idle_since = now;
     bool over = m.state == MachineState::draining && m.warned_until == 0;
-    if (m.hearing == workers::Hearing::partly && m.attempts.empty()) {
+    if (m.hearing == workers::Hearing::partly && m.attempts.empty() &&
+        now - m.idle_since > seconds(term_.settings().lease_s)) {
         book_.give_back(m, "hears no commands");
     } else if (m.open() && m.reserved_for == kNone &&
                now - m.idle_since > supply_.idle_keep(m, now)) {
--- a/src/duties/keeper.cpp
+++ b/src/duties/keeper.cpp
@@ -31,7 +31,10 @@
     asking_ = false;
     term_ = std::move(term);
     hold_ = hold;
-    for (Duty d : kAll) set_state(d, State::unknown);
+    for (Duty d : kAll) {
+        entry(d).taken_from = 0;
+        set_state(d, State::unknown);
+    }
     tend(now);
 }
 
@@ -155,7 +158,9 @@
 }
 
 void Keeper::take(Duty d) {
-    if (leads() && state(d) == State::elsewhere) move(d, mine());
+    if (!leads() || state(d) != State::elsewhere) return;
+    entry(d).taken_from = fence(d);
+    move(d, mine());
 }
 
 void Keeper::refuted(Duty d) {
--- a/src/duties/keeper.h
+++ b/src/duties/keeper.h
@@ -49,6 +49,11 @@
     void give(Duty d, const Post& to);
     // Takes it back from a holder whose charges are over.
     void take(Duty d);
+    // May its holder elsewhere be charged? Not once it was asked to be taken back: a transaction of
+    // unknown outcome may be carried out later, and this leader would act beside the holder.
+    bool chargeable(Duty d) const {
+        return state(d) == State::elsewhere && entry(d).taken_from != fence(d);
+    }
 
     // --- the helper's side: what the leader says that this controller has
     void charged(Duty d, std::uint64_t fence, std::uint64_t hold);
@@ -70,6 +75,7 @@
         State state = State::unknown;
         Post post;
         std::uint64_t fence = 0;
+        std::uint64_t taken_from = 0;  // asked to be taken back from that fence, in this term
         Millis retry_at = 0;           // its record is read then, if need be
         std::uint64_t unreadable = 0;  // the stamp at which that was logged
     };
--- a/src/duties/office.cpp
+++ b/src/duties/office.cpp
@@ -122,7 +122,7 @@
             // Charges end by themselves, this leader's and those of the ones before it: then nobody
             // acts under the duty, whether its holder can be asked or not.
             const Millis over = longer(kCharge) + std::max(charged_at_[at(d)], led_since_);
-            if (!(out && theirs) && now > over) keeper_.take(d);
+            if (!(out && theirs && keeper_.chargeable(d)) && now > over) keeper_.take(d);
         }
     }
 }
@@ -137,7 +137,7 @@
     m.asked_ms = p->clock_ms;
     m.lease_ms = static_cast<std::uint64_t>(kCharge);
     for (Duty d : kAll) {
-        if (keeper_.state(d) != State::elsewhere || !wanted_elsewhere(d, now)) continue;
+        if (!keeper_.chargeable(d) || !wanted_elsewhere(d, now)) continue;
         const Post& post = keeper_.post(d);
         if (post != Post{helper_, p->incarnation, p->hold}) continue;
         charged_at_[at(d)] = now;
--- a/tests/town.cpp
+++ b/tests/town.cpp
@@ -110,6 +110,11 @@
                 std::move(done));
         }
         void end_lease(std::uint64_t hold) override {
+            if (c.town.chance(c.town.late_writes)) {
+                c.town.at(c.town.now_ + 2'000 + c.town.delay(10'000),
+                          [t = &c.town, hold] { t->end_hold(hold); });
+                return;
+            }
             ask<state::LeaseReply>(
                 [this, hold] {
                     c.town.end_hold(hold);
@@ -274,10 +279,19 @@
             arrives = x.held;
             late = std::max(late, x.until - now_ + delay(500));
         }
+        bool late_write = false;
+        if constexpr (std::is_same_v<Reply, state::CommitReply>)
+            late_write = road == Road::state && chance(late_writes);
+        if (late_write) {
+            late = std::max(late, 2'000 + delay(10'000));
+            heard = false;
+        }
         if (arrives) {
             at(now_ + late, [=, this, &c] {
                 if (road == Road::state && now_ < down_until_) return;
                 Reply r = executed();
+                if constexpr (std::is_same_v<Reply, state::CommitReply>)
+                    late_applied_ += late_write && r.outcome == state::Outcome::ok ? 1 : 0;
                 if (heard) inside(c, now_ + delay(10), [&c, done, r] { done(c.local(), r); });
             });
         }
