--- a/tests/world.h
+++ b/tests/world.h
@@ -91,6 +91,17 @@
     std::size_t told_beside_old_leaders() const { return told_beside_old_; }
     std::size_t answers_by_old_leaders() const { return answers_by_old_; }
     std::size_t terms() const { return term_; }
+    // How often a meeting came about.
+    struct Met {
+        std::size_t copies_of_sessions = 0;  // copies from a session that is over
+        std::size_t copies_of_attempts = 0;  // that list an attempt which another has followed
+        std::size_t held_executed = 0, held_refused = 0;  // commands, seconds late
+        std::size_t late_applied = 0, late_refused = 0;   // transactions, after they were given up
+        std::size_t unrecorded = 0;  // completions on no record as a leader ended
+    };
+    const Met& met() const { return met_; }
+    // Jobs of which all has completed, and nobody is told for longer than that.
+    std::vector<std::string> told_late(Millis longer) const;
     void set_options(const admin::Options& options);
     void strike(std::size_t step, Blow blow) {
         strike_at_ = sends_ + step;
@@ -127,6 +138,7 @@
     std::string any_machine();
     dispatch::Dispatcher* leader();
     std::string what_runs() const;
+    std::string book_says();
 
   private:
     struct Task {
@@ -198,6 +210,7 @@
     void at(Millis t, std::function<void()> f) { queue_.emplace(t, std::move(f)); }
     void load(std::size_t index);
     void tend_seats();
+    void count_unrecorded();
     bool served(const Node& n) const { return state_up() && now_ >= n.refused_until; }
     // It may answer workers, as far as it knows.
     bool answers(const Node& n) const;
@@ -276,6 +289,9 @@
     bool seats_ = false;
     Millis down_until_ = 0;
     std::size_t told_beside_old_ = 0, answers_by_old_ = 0;
+    Met met_;
+    std::map<TaskId, std::uint32_t> latest_;  // the last attempt of each that came to be there
+    std::map<TaskId, Millis> done_at_;
 
   public:
     std::size_t answered_by_deputies() const { return answered_by_deputies_; }
