--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -33,6 +33,8 @@
     std::uint64_t revision = 10;
     std::size_t kept = 10'000;  // changes that watches may still ask for
     double fails = 0;
+    double slow = 0;    // of the calls: executed at once, and answered too late to be heard
+    bool down = false;  // for everybody
     std::size_t reads = 0;
 
     void at(Millis t, std::function<void()> f) { queue.emplace(t, std::move(f)); }
@@ -55,8 +57,19 @@
     }
     // Executed there, answered here, or neither.
     template <typename Reply>
-    void call(std::function<Reply()> execute, std::function<void(Millis, const Reply&)> done) {
+    void call(bool refused, std::function<Reply()> execute,
+              std::function<void(Millis, const Reply&)> done) {
         ++reads;
+        if (refused || down) {
+            Reply failed;
+            failed.outcome = state::Outcome::refused;
+            at(now + some(10), [this, failed, done] { done(now, failed); });
+            return;
+        }
+        if (std::uniform_real_distribution<double>(0, 1)(random) < slow) {
+            at(now + 1'000, [this, done] { done(now, Reply{}); });
+            return;
+        }
         if (std::uniform_real_distribution<double>(0, 1)(random) < fails) {
             Reply failed;
             failed.outcome = random() % 2 == 0 ? state::Outcome::refused : state::Outcome::unknown;
@@ -73,6 +86,7 @@
 struct Controller : jobs::Records {
     Store& store;
     Answers answers;
+    bool refused = false;  // this one alone
     explicit Controller(Store& s)
         : store(s), answers(*this, 100, [this](Millis at) {
               store.at(at, [this] { answers.tend(store.now); });
@@ -80,6 +94,7 @@
     void changes(const std::string& prefix, std::uint64_t after,
                  std::function<void(Millis, const state::ListReply&)> done) override {
         store.call<state::ListReply>(
+            refused,
             [this, prefix, after] {
                 state::ListReply r;
                 r.outcome = state::Outcome::ok;
@@ -98,6 +113,7 @@
     void get(const std::string& key,
              std::function<void(Millis, const state::GetReply&)> done) override {
         store.call<state::GetReply>(
+            refused,
             [this, key] {
                 state::GetReply r;
                 auto it = store.keys.find(key);
@@ -110,6 +126,7 @@
     }
     void revision(std::function<void(Millis, const state::ListReply&)> done) override {
         store.call<state::ListReply>(
+            refused,
             [this] {
                 state::ListReply r;
                 r.outcome = state::Outcome::ok;
@@ -126,28 +143,34 @@
     return told.final ? 2 : 1;
 }
 
+using Controllers = std::vector<std::unique_ptr<Controller>>;
+
 // Whichever controller is asked: nobody is told less than anybody was told before the question
-// came, by whatever controller, however late or lost the messages are.
-TEST(Answers, NobodyIsToldLessThanWasToldBefore) {
+// came, by whatever controller, however late or lost the messages are. `meet`: the trouble of each
+// step.
+void ask_around(std::uint64_t from, std::uint64_t to,
+                const std::function<void(int step, Store&, Controllers&)>& meet) {
     std::size_t told = 0, finals = 0, missing = 0;
-    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    for (std::uint64_t seed = from; seed <= to; ++seed) {
         SCOPED_TRACE(seed);
         Store store;
         store.random.seed(seed);
         store.kept = seed % 4 == 0 ? 20 : 10'000;
         store.fails = seed % 3 == 0 ? 0.2 : 0;
-        std::vector<std::unique_ptr<Controller>> nodes;
+        Controllers nodes;
         for (int i = 0; i < 3; ++i) nodes.push_back(std::make_unique<Controller>(store));
         std::map<std::string, int> best;  // that any user was told of the job
         std::size_t open = 0;
         for (int step = 0; step < 3'000; ++step) {
             store.run_until(store.now + static_cast<Millis>(store.random() % 30));
+            meet(step, store, nodes);
             // Half of the questions are about what has just changed.
             const bool hot = !store.log.empty() && store.random() % 2 == 0;
             const std::string id =
                 hot ? store.log.back().key.substr(4) : "job-" + std::to_string(store.random() % 40);
             const auto it = store.keys.find(jobs::job_key(id));
             const int what = static_cast<int>(store.random() % 100);
+            if (what < 5 && store.down) continue;
             if (what < 3 && it == store.keys.end()) {
                 store.put(id, nullptr);
                 best[id] = 1;  // its user was told 201
@@ -184,6 +207,47 @@
     EXPECT_GT(missing, 1'000u);
 }
 
+TEST(Answers, NobodyIsToldLessThanWasToldBefore) {
+    ask_around(1, 40, [](int, Store&, Controllers&) {});
+}
+
+// The state service is slow, refuses one controller alone and is then down for all, while users go
+// on asking: nothing older than what was told by any controller, nothing that is not so, and as
+// soon as it is served every controller answers for every job.
+TEST(Answers, SlowThenRefusingOneThenDownForAll) {
+    std::size_t refused = 0, down = 0;
+    ask_around(50, 90, [&](int step, Store& store, Controllers& nodes) {
+        const int at = step % 1'000;
+        store.slow = at >= 100 && at < 400 ? 0.3 : 0;
+        store.down = at >= 500 && at < 800;
+        for (std::size_t i = 0; i < nodes.size(); ++i)
+            nodes[i]->refused =
+                at >= 300 && at < 600 && i == static_cast<std::size_t>(step) / 1'000;
+        refused += at >= 300 && at < 500 ? 1 : 0;
+        down += store.down ? 1 : 0;
+        if (at != 999) return;
+        std::size_t known = 0;
+        for (auto& n : nodes) {
+            for (const auto& [key, kept] : store.keys) {
+                n->answers.ask(
+                    key.substr(4), 1'500,
+                    [&](Answers::Found f, const Told&) { known += f == Answers::Found::told; },
+                    store.now);
+            }
+        }
+        const std::size_t asked = nodes.size() * store.keys.size();
+        for (int i = 0; i < 20; ++i) {
+            store.run_until(store.now + 100);
+            for (auto& n : nodes) n->answers.tend(store.now);
+        }
+        if (store.fails == 0) {
+            EXPECT_EQ(known, asked);
+        }
+    });
+    EXPECT_GT(refused, 10'000u);
+    EXPECT_GT(down, 10'000u);
+}
+
 // A storm of questions once took all requests of the state service: nothing else was served for a
 // minute. The cost does not follow their number, and every job is answered for.
 TEST(Answers, AStormOfQuestionsCostsNoMoreAndForgetsNobody) {
