Room in its team's limit is gathered for a gang that waits long

From 150 s on what comes free is kept for the gang, from 180 s on work of lower priority of its own team is stopped for it, if that is enough.

--- a/src/book/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -53,11 +53,19 @@
         m.firm_cpus.own() += j.spec.cpus;
     }
     refresh(m);
-    team_use_[j.team].cpus += j.spec.cpus;
-    team_use_[j.team].gpus += j.spec.gpus;
+    use(j, 1);
     ++j.live.own();
 }
 
+void Book::use(const Job& j, double tasks) {
+    TeamUse& u = team_use_[j.team];
+    u.cpus += tasks * j.spec.cpus;
+    u.gpus += tasks * j.spec.gpus;
+    if (j.spec.shape != wire::Shape::array) return;
+    u.array_cpus += tasks * j.spec.cpus;
+    u.array_gpus += tasks * j.spec.gpus;
+}
+
 void Book::release(Attempt& a, Job& j) {
     if (Machine* m = machine_of(a)) {
         m->cpus_free.own() += j.spec.cpus;
@@ -75,8 +83,7 @@
         if (!wanted) placing::give_up_fetch(*m, j.image);
         refresh(*m);
     }
-    team_use_[j.team].cpus -= j.spec.cpus;
-    team_use_[j.team].gpus -= j.spec.gpus;
+    use(j, -1);
     --j.live.own();
     touch();
 }
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -25,6 +25,7 @@
     team_names_.add(rule.name);
     team_rules_.push_back(rule);
     team_use_.emplace_back();
+    gathering_.push_back(kNone);
     guarantees_.push_back(std::make_unique<Guarantee>(rule));
 }
 
@@ -194,6 +195,23 @@
     while (!j.reserved.empty()) drop_reservation(*roster_.at(j.reserved.back()));
 }
 
+const Job* Book::gathers(Index team) const {
+    const Index i = gathering_[team];
+    const Job* j = i == kNone ? nullptr : slots_[i];
+    // It has begun, is over, or its place in the list is another's.
+    return j != nullptr && j->team == team && j->gang() && j->unstarted() > 0 ? j : nullptr;
+}
+
+void Book::gather(const Job& gang) {
+    const Job* first = gathers(gang.team);
+    if (first == nullptr || gang.accepted_at < first->accepted_at)
+        gathering_[gang.team] = gang.index;
+}
+
+void Book::gather_no_more(const Job& gang) {
+    if (gathering_[gang.team] == gang.index) gathering_[gang.team] = kNone;
+}
+
 void Book::want_places(Job& j) {
     if (j.queued || j.unstarted() == 0) return;
     j.queued = true;
@@ -213,13 +231,11 @@
 
 void Book::lend(Job& j, Index block) {
     j.lent_to.own() = block;
-    team_use_[j.team].cpus += j.spec.cpus * j.spec.tasks;
-    team_use_[j.team].gpus += j.spec.gpus * j.spec.tasks;
+    use(j, j.spec.tasks);
 }
 
 void Book::unlend(Job& j) {
-    team_use_[j.team].cpus -= j.spec.cpus * j.spec.tasks;
-    team_use_[j.team].gpus -= j.spec.gpus * j.spec.tasks;
+    use(j, -static_cast<double>(j.spec.tasks));
     j.lent_to.own() = kNone;
     touch();
 }
--- a/src/book/book.h
+++ b/src/book/book.h
@@ -28,7 +28,8 @@
 using workers::MachineState;
 
 struct TeamUse {
-    double cpus = 0, gpus = 0;  // in use, from the start's sending until proven gone
+    double cpus = 0, gpus = 0;              // in use, from the start's sending until proven gone
+    double array_cpus = 0, array_gpus = 0;  // of that, what arrays have
 };
 
 class Book {
@@ -42,6 +43,10 @@
     const Names& classes() const { return class_names_; }
     const wire::Team& team_rule(Index team) const { return team_rules_[team]; }
     const TeamUse& team_use(Index team) const { return team_use_[team]; }
+    // The gang for which what comes free in the team's limit is gathered; null: none.
+    const Job* gathers(Index team) const;
+    void gather(const Job& gang);
+    void gather_no_more(const Job& gang);
 
     using Jobs = std::unordered_map<std::string, std::unique_ptr<Job>>;
     const Jobs& jobs() const { return jobs_; }
@@ -150,6 +155,7 @@
     void set_attempt_state(Attempt& a, AttemptState s, Millis now);
     void occupy(Attempt& a, Job& j, Machine& m);
     void release(Attempt& a, Job& j);
+    void use(const Job& j, double tasks);  // of its team's limit
     void refresh(Machine& m);
     bool link_start(Job& j, Attempt& a);
     void exited(Attempt& a, wire::ExitCause cause, Millis now);
@@ -172,6 +178,7 @@
     std::vector<wire::MachineType> types_;
     std::vector<wire::Team> team_rules_;
     std::vector<TeamUse> team_use_;
+    std::vector<Index> gathering_;                        // by team, the job; kNone: none
     std::vector<std::unique_ptr<Guarantee>> guarantees_;  // by team
 
     Jobs jobs_;
--- a/src/dispatch/overview.cpp
+++ b/src/dispatch/overview.cpp
@@ -13,7 +13,11 @@
     if (now < j.hold_until) return "held back after failures";
     if (!term_.confirmed(now)) return "the state service does not answer the leader";
     std::uint32_t needs = j.gang() ? j.spec.tasks : 1;
-    if (rules_.room_in_limit(j) < needs) return "its team is at its limit";
+    if (rules_.room_in_limit(j) < needs) {
+        const Job* gang = book_.gathers(j.team);
+        if (gang == nullptr || gang == &j) return "its team is at its limit";
+        return "what its team's limit leaves is gathered for " + gang->spec.id;
+    }
     std::size_t suited = 0, coming = 0;
     for (const Machine* m : book_.machines()) {
         if (m->type == kNone || !rules_.allowed(j, *m)) continue;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -135,7 +135,8 @@
 
     // Gangs: all members share the attempt's number.
     std::uint32_t gang_attempt = 0;
-    bool gang_broken = false;  // the running attempt must end before the next
+    bool gang_broken = false;     // the running attempt must end before the next
+    Millis fits_limit_since = 0;  // while it waits; 0: its team's limit leaves too little for it
 
     // Trouble.
     std::vector<Index> failed_on;  // machines on which a task ended in error
--- a/src/schedule/rules.cpp
+++ b/src/schedule/rules.cpp
@@ -26,11 +26,19 @@
     const wire::Team& rule = book_.team_rule(j.team);
     const book::TeamUse& used = book_.team_use(j.team);
     double most = 1e6;
+    // A gang needs its part of the limit whole: what comes free is gathered for one that waits
+    // long, or small tasks would pass it for ever.
+    const Job* gang = book_.gathers(j.team);
+    const bool left =
+        gang != nullptr && gang != &j && j.spec.priority != wire::Priority::production;
+    const double kept = left ? gang->spec.tasks : 0;
     if (rule.cpus_max > 0 && j.spec.cpus > 0) {
-        most = std::min(most, (rule.cpus_max - used.cpus + placing::kSlack) / j.spec.cpus);
+        const double free = rule.cpus_max - used.cpus - (left ? kept * gang->spec.cpus : 0);
+        most = std::min(most, (free + placing::kSlack) / j.spec.cpus);
     }
     if (rule.gpus_max > 0 && j.spec.gpus > 0) {
-        most = std::min(most, (rule.gpus_max - used.gpus + placing::kSlack) / j.spec.gpus);
+        const double free = rule.gpus_max - used.gpus - (left ? kept * gang->spec.gpus : 0);
+        most = std::min(most, (free + placing::kSlack) / j.spec.gpus);
     }
     return most <= 0 ? 0 : static_cast<std::uint32_t>(most);
 }
--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -17,6 +17,12 @@
 constexpr Millis kReservation = 12'000;  // beyond the time to save
 constexpr double kVictimLate = 30;    // seconds of work that an array is worth more when it is late
 constexpr Millis kMakeRoomGap = 500;  // for one job
+// The largest jobs too begin within four minutes: room in its team's limit is gathered for a gang
+// from five eighths of that on, and made for it from three quarters on. Sooner, arrays wait longer
+// than gangs gain (docs/rounds.md, round 48).
+constexpr Millis kBeginWithin = 240'000;
+constexpr Millis kGatherAfter = kBeginWithin * 5 / 8, kStopAfter = kBeginWithin * 3 / 4;
+constexpr Millis kStopEvery = 5'000;
 constexpr std::size_t kMostSearched = 300;  // machines, for work that may be stopped
 }  // namespace
 
@@ -27,6 +33,7 @@
     // soon.
     j.avoids_dear = j.service() && (j.starved_since == 0 || now - j.starved_since < kGoneWithin);
     if (j.gang() ? place_gang(j, now) : place_some(j, now)) return true;
+    if (j.gang() && now - j.accepted_at > kGatherAfter) look_at_limit(j, now);
     std::uint32_t want = j.gang() ? j.spec.tasks : std::min(j.wanted(), rules_.room_in_limit(j));
     bool coming = want > 0 && rules_.within_limit(j, want) && make_room(j, want, now);
     if (!j.avoids_dear || coming || j.unstarted() == 0) return false;
@@ -171,6 +178,74 @@
     return true;
 }
 
+// What was gathered in its team's limit is kept for a gang that fits it for as long as a machine
+// for it would take; then others may have it again, and it is gathered anew when need be.
+void Schedule::look_at_limit(Job& gang, Millis now) {
+    if (!rules_.within_limit(gang, gang.spec.tasks)) {
+        gang.fits_limit_since = 0;
+        make_room_in_limit(gang, now);
+        return;
+    }
+    if (gang.fits_limit_since == 0) gang.fits_limit_since = now;
+    const Millis boot = book_.types().empty() ? 0 : seconds(book_.types().front().boot_s);
+    if (now - gang.fits_limit_since > boot + kReservation) book_.gather_no_more(gang);
+}
+
+// Its team's own work takes the limit. What comes free is kept for the gang, and after a while work
+// of lower priority is stopped, as little as will do.
+void Schedule::make_room_in_limit(Job& gang, Millis now) {
+    const wire::Team& rule = book_.team_rule(gang.team);
+    const book::TeamUse& used = book_.team_use(gang.team);
+    // What would have to go, beside what other gangs and replicas have.
+    double gpus =
+        rule.gpus_max > 0 ? used.gpus + gang.spec.gpus * gang.spec.tasks - rule.gpus_max : 0;
+    double cpus =
+        rule.cpus_max > 0 ? used.cpus + gang.spec.cpus * gang.spec.tasks - rule.cpus_max : 0;
+    auto enough = [&](double free_gpus, double free_cpus) {
+        return gpus <= free_gpus + placing::kSlack && cpus <= free_cpus + placing::kSlack;
+    };
+    if (gang.room_coming || enough(used.array_gpus, used.array_cpus))
+        book_.gather(gang);
+    else
+        book_.gather_no_more(gang);  // it would idle until those have ended
+    if (now - gang.accepted_at < kStopAfter || now < gang.make_room_at) return;
+    gang.make_room_at = now + kStopEvery;
+    std::vector<std::pair<double, Attempt*>> victims;
+    double their_gpus = 0, their_cpus = 0;
+    for (const auto& [id, v] : book_.jobs()) {
+        if (v->team != gang.team || v->spec.priority >= gang.spec.priority || v->live == 0)
+            continue;
+        for (const auto& a : v->attempts) {
+            if (!a->live()) continue;
+            if (a->must_go) {  // on its way
+                gpus -= v->spec.gpus;
+                cpus -= v->spec.cpus;
+                continue;
+            }
+            if (v->state != jobs::JobState::open || v->gang()) continue;
+            const double run_s =
+                a->running_since == 0 ? 0 : static_cast<double>(now - a->running_since) / 1000.0;
+            victims.push_back({v->spec.checkpoint_s > 0 ? v->spec.save_s + 2 : run_s, a.get()});
+            their_gpus += v->spec.gpus;
+            their_cpus += v->spec.cpus;
+        }
+    }
+    gang.room_coming = enough(their_gpus, their_cpus);
+    if (!gang.room_coming) return;
+    book_.gather(gang);
+    std::sort(victims.begin(), victims.end(),
+              [](const auto& a, const auto& b) { return a.first < b.first; });
+    for (const auto& [lost, a] : victims) {
+        if (enough(0, 0)) break;
+        const Job& v = book_.job_of(*a);
+        gpus -= v.spec.gpus;
+        cpus -= v.spec.cpus;
+        spdlog::debug("task {}/{} makes room in its team's limit for {}", v.spec.id, a->task,
+                      gang.spec.id);
+        book_.stop_saving(*a, now);
+    }
+}
+
 // Stops the least valuable work on as many machines as the job needs, and keeps them for it. Of
 // many machines it looks at some, and the next time at others.
 bool Schedule::make_room(Job& j, std::uint32_t tasks, Millis now) {
--- a/src/schedule/schedule.h
+++ b/src/schedule/schedule.h
@@ -20,6 +20,8 @@
     bool place_some(jobs::Job& j, Millis now);
     bool place_gang(jobs::Job& j, Millis now);
     bool make_room(jobs::Job& j, std::uint32_t tasks, Millis now);
+    void look_at_limit(jobs::Job& gang, Millis now);
+    void make_room_in_limit(jobs::Job& gang, Millis now);
 
     book::Book& book_;
     outlook::Outlook& outlook_;
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -264,6 +264,39 @@
     }
 }
 
+// A gang needs its part of its team's limit whole, and small tasks of the same team took whatever
+// came free, for as long as they lasted.
+TEST(Dispatch, AGangThatItsTeamsLimitKeepsWaitingBegins) {
+    for (std::uint64_t seed = 921; seed < 926; ++seed) {
+        SCOPED_TRACE(seed);
+        World world(seed, {});
+        wire::Json array = job("job-0", "sweep", 1'500, 1), gang = job("job-1", "ensemble", 4, 2);
+        world.submit(array);
+        world.run_until(30'000);
+        world.submit(gang);  // 8 of the team's 12
+        const Millis asked = world.now();
+        // Gathered after 150 s, what comes free is enough soon.
+        world.run_until(asked + 150'000 + 30'000);
+        EXPECT_EQ(world.final_state("job-1"), "done") << world.what_runs();
+        EXPECT_EQ(world.final_state("job-0"), "");
+        // And long tasks of lower priority are stopped for one.
+        World other(seed, {});
+        for (int n = 0; n < 12; ++n) {
+            wire::Json replica = job("job-" + std::to_string(n), "standing", 1, 1);
+            replica["urgency"] = "normal";
+            other.submit(replica);
+        }
+        other.run_until(30'000);
+        ASSERT_EQ(other.running("a") + other.running("b"), 12u);
+        gang["id"] = "job-20";
+        other.submit(gang);
+        other.run_until(other.now() + 170'000);
+        EXPECT_EQ(other.running("a") + other.running("b"), 12u);
+        other.run_until(other.now() + 60'000);
+        EXPECT_EQ(other.final_state("job-20"), "done") << other.what_runs();
+    }
+}
+
 // A job that was submitted with a mistake fails everywhere until it is cancelled: it takes one
 // place at a time, no machine is blamed for it, and other work is served as ever.
 TEST(Dispatch, AJobWithAMistakeTakesLittleAndBlamesNoMachine) {
