--- a/src/book/machines.cpp
+++ b/src/book/machines.cpp
@@ -104,7 +104,6 @@
 void Book::set_strange(Machine& m, bool strange) {
     if (m.strange == strange) return;
     m.strange.own() = strange;
-    m.late = strange;
     strangers_ += strange ? 1 : -1;
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -137,6 +137,7 @@
     std::uint32_t gang_attempt = 0;
     bool gang_broken = false;     // the running attempt must end before the next
     Millis fits_limit_since = 0;  // while it waits; 0: its team's limit leaves too little for it
+    Millis gather_at = 0;         // not before: what was gathered for it was given up
 
     // Trouble.
     std::vector<Index> failed_on;  // machines on which a task ended in error
--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -22,6 +22,7 @@
 // than gangs gain (docs/rounds.md, round 48).
 constexpr Millis kBeginWithin = 240'000;
 constexpr Millis kGatherAfter = kBeginWithin * 5 / 8, kStopAfter = kBeginWithin * 3 / 4;
+constexpr Millis kGatherAgain = 30'000;
 constexpr Millis kStopEvery = 5'000;
 constexpr std::size_t kMostSearched = 300;  // machines, for work that may be stopped
 }  // namespace
@@ -183,12 +184,14 @@
 void Schedule::look_at_limit(Job& gang, Millis now) {
     if (!rules_.within_limit(gang, gang.spec.tasks)) {
         gang.fits_limit_since = 0;
-        make_room_in_limit(gang, now);
+        if (now >= gang.gather_at) make_room_in_limit(gang, now);
         return;
     }
     if (gang.fits_limit_since == 0) gang.fits_limit_since = now;
     const Millis boot = book_.types().empty() ? 0 : seconds(book_.types().front().boot_s);
-    if (now - gang.fits_limit_since > boot + kReservation) book_.gather_no_more(gang);
+    if (now - gang.fits_limit_since <= boot + kReservation) return;
+    book_.gather_no_more(gang);
+    gang.gather_at = now + kGatherAgain;
 }
 
 // Its team's own work takes the limit. What comes free is kept for the gang, and after a while work
--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -42,7 +42,7 @@
     };
     for (Index i : book_.coming()) {
         const Machine& m = *book_.machine_at(i);
-        if (m.type == kNone) continue;
+        if (m.type == kNone || m.strange) continue;
         if (silence_.shut(m.zone)) continue;  // nothing can be started there for now
         bool late = now - m.hired_at > seconds(book_.types()[m.type].boot_s * kLateBoots);
         if (m.state == MachineState::joining || !late) add_bin(m.type, m.zone, m.spot);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -297,6 +297,30 @@
     }
 }
 
+// What was gathered for a gang is not kept for ever when no machine comes for it.
+TEST(Dispatch, WhatWasGatheredIsUsedWhenNoMachineComes) {
+    World world(927, {});
+    wire::Json array = job("job-0", "sweep", 2'000, 1), gang = job("job-1", "ensemble", 2, 4);
+    array["yard"] = "a";
+    gang["yard"] = "b";
+    world.submit(array);
+    world.run_until(60'000);
+    ASSERT_GE(world.running("a"), 8u);
+    Trouble full;
+    full.full_zone = "b";
+    world.begin(full);
+    world.submit(gang);
+    world.run_until(world.now() + 150'000);
+    std::size_t least = 12, most = 0;
+    for (int n = 0; n < 100; ++n) {
+        world.run_until(world.now() + 1'000);
+        if (world.running("a") <= 4) least = 0;
+        if (least == 0) most = std::max(most, world.running("a"));
+    }
+    EXPECT_EQ(least, 0u);  // it was gathered
+    EXPECT_GE(most, 8u);
+}
+
 // A job that was submitted with a mistake fails everywhere until it is cancelled: it takes one
 // place at a time, no machine is blamed for it, and other work is served as ever.
 TEST(Dispatch, AJobWithAMistakeTakesLittleAndBlamesNoMachine) {
--- a/tests/evidence_test.cpp
+++ b/tests/evidence_test.cpp
@@ -74,9 +74,15 @@
                 }
                 seen = std::max(seen, given);
                 sent.push_back(make());
-                const Proof p = contact.answered(sent.back().report, asked, now, now);
-                judge(sent.back(), p);
-                RC_ASSERT(contact.newest() == (Mark{session, seq}));
+                const Message answer = sent.back();
+                const bool overtaken = e % 5 == 0;
+                if (overtaken) {  // by a report that was made later, and is heard first
+                    sent.push_back(make());
+                    judge(sent.back(), contact.reported(sent.back().report, false, now));
+                }
+                const Proof p = contact.answered(answer.report, asked, now, now);
+                judge(answer, p);
+                if (!overtaken) RC_ASSERT(contact.newest() == (Mark{session, seq}));
                 if (p == Proof::anew) contact.raise(++given, now);
             } else if (e < 950) {  // its lease has ended
                 ++session;
@@ -177,6 +183,32 @@
     }
 }
 
+// While the cloud is down and cannot give it back: what is on it is started elsewhere when its lease
+// has ended, which its own reports tell.
+TEST(Evidence, ADeafMachinesLeaseEndsThoughTheCloudIsDown) {
+    for (std::uint64_t seed : {61, 62, 63}) {
+        SCOPED_TRACE(seed);
+        World world(seed, {});
+        wire::Json array = job("job-0", "sweep", 1'500, 1);
+        array["crew"] = "blue";  // may be stopped for a replica
+        world.submit(array);
+        world.submit(job("job-1", "standing", 1, 4));
+        world.run_until(60'000);
+        const auto& attempts = world.leader()->open_jobs().at("job-1")->attempts;
+        ASSERT_EQ(attempts.size(), 1u);
+        const Index was = attempts.front()->machine;
+        Trouble down;
+        down.cloud_down = true;
+        world.begin(down);
+        world.deafen(world.leader()->roster().at(was)->name, kNever);
+        // Half a lease of doubt, a lease, and a place elsewhere.
+        world.run_until(world.now() + 50'000);
+        EXPECT_TRUE(std::any_of(attempts.begin(), attempts.end(), [&](const auto& a) {
+            return a->machine != was && a->state == jobs::AttemptState::running;
+        }));
+    }
+}
+
 // Answers reach it, and keep its lease; commands do not. Without a name of its own it looked sound:
 // what was placed on it waited for a start that never came, over and over.
 TEST(Evidence, AMachineThatHearsNoCommandsKeepsWhatItHasAndGetsNothingNew) {
@@ -294,6 +326,27 @@
     EXPECT_EQ(world->rented(), rented);
 }
 
+// A machine known from a copy alone is none that work could wait for: others are hired at once.
+TEST(Evidence, NobodyCountsOnAStranger) {
+    auto world = town(45);
+    std::vector<std::string> gone;
+    for (const std::string& name : world->working_machines()) gone.push_back(name);
+    for (const std::string& name : gone) world->kill_machine(name);
+    world->run_until(world->now() + 60'000);
+    for (const std::string& name : gone) ASSERT_TRUE(world->removed(name));
+    world->take_over();
+    world->run_until(world->now() + 3'000);
+    for (const std::string& name : gone) world->copy(name, false, 10);
+    world->run_until(world->now() + 20);
+    const std::size_t rented = world->rented();
+    wire::Json gang = job("job-9", "ensemble", 4, 4);
+    gang["crew"] = "blue";
+    world->cancel("job-3");  // of the same team: its limit is the gang's
+    world->submit(gang);
+    world->run_until(world->now() + 1'500);
+    EXPECT_GE(world->rented(), rented + 4);
+}
+
 // What is on a machine that dies is not kept alive by what it said before.
 TEST(Evidence, CopiesKeepNobodyAlive) {
     auto world = town(51);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -378,6 +378,7 @@
 }
 
 World::Way World::to_cloud() {
+    if (trouble_.cloud_down) return {now_ + 1'000'000'000, true};
     const Millis held = blow();
     const bool late = held > 0 || chance(trouble_.late_cloud);
     const bool lost = late || chance(trouble_.lost_cloud);
@@ -634,7 +635,7 @@
         reply.machines = r.machines;
         return reply;
     }
-    if (chance(trouble_.refuse_hire) || machines_.size() > 400) {
+    if (asked.zone == trouble_.full_zone || chance(trouble_.refuse_hire) || machines_.size() > 400) {
         reply.result = fleet::HireReply::Result::no_capacity;
         return reply;
     }
--- a/tests/world.h
+++ b/tests/world.h
@@ -29,17 +29,19 @@
     double late_copy = 0;     // a report comes once more, seconds to several leases late
     double restarts = 0;      // a second, for one machine: back at once, its numbers begin anew
     double refuse_hire = 0;
-    double sick = 0;            // machines that fail every task
-    double machine_dies = 0;    // a second, for one machine
-    double takeover = 0;        // a second
-    double linger = 0;          // share of deposed leaders that go on answering for a while
-    double holder_dies = 0;     // a second
-    double lost_back = 0;       // a message between controllers is lost
-    double refused_direct = 0;  // a connection to a machine is refused
-    Millis slow_lists = 0;      // lists of the state service take up to so much longer
-    double late_cloud = 0;      // the cloud executes a rental or a return up to a minute later
-    double lost_cloud = 0;      // it executes it, and nobody hears
-    Millis list_lag = 0;        // its lists are as old as that, or twice as old
+    double sick = 0;             // machines that fail every task
+    double machine_dies = 0;     // a second, for one machine
+    double takeover = 0;         // a second
+    double linger = 0;           // share of deposed leaders that go on answering for a while
+    double holder_dies = 0;      // a second
+    double lost_back = 0;        // a message between controllers is lost
+    double refused_direct = 0;   // a connection to a machine is refused
+    Millis slow_lists = 0;       // lists of the state service take up to so much longer
+    double late_cloud = 0;       // the cloud executes a rental or a return up to a minute later
+    double lost_cloud = 0;       // it executes it, and nobody hears
+    Millis list_lag = 0;         // its lists are as old as that, or twice as old
+    bool cloud_down = false;     // the cloud executes nothing
+    std::string full_zone = "";  // it has no machine left there
 };
 
 // A part of a zone's machines that nobody outside the zone reaches for a while.
