--- a/src/schedule/rules.cpp
+++ b/src/schedule/rules.cpp
@@ -29,15 +29,17 @@
     // A gang needs its part of the limit whole: what comes free is gathered for one that waits
     // long, or small tasks would pass it for ever.
     const Job* gang = book_.gathers(j.team);
-    const bool left =
-        gang != nullptr && gang != &j && j.spec.priority != wire::Priority::production;
-    const double kept = left ? gang->spec.tasks : 0;
+    placing::Need kept;
+    if (gang != nullptr && gang != &j && j.spec.priority != wire::Priority::production) {
+        kept.cpus = gang->spec.cpus * gang->spec.tasks;
+        kept.gpus = gang->spec.gpus * gang->spec.tasks;
+    }
     if (rule.cpus_max > 0 && j.spec.cpus > 0) {
-        const double free = rule.cpus_max - used.cpus - (left ? kept * gang->spec.cpus : 0);
+        const double free = rule.cpus_max - used.cpus - kept.cpus;
         most = std::min(most, (free + placing::kSlack) / j.spec.cpus);
     }
     if (rule.gpus_max > 0 && j.spec.gpus > 0) {
-        const double free = rule.gpus_max - used.gpus - (left ? kept * gang->spec.gpus : 0);
+        const double free = rule.gpus_max - used.gpus - kept.gpus;
         most = std::min(most, (free + placing::kSlack) / j.spec.gpus);
     }
     return most <= 0 ? 0 : static_cast<std::uint32_t>(most);
--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -19,7 +19,7 @@
 constexpr Millis kMakeRoomGap = 500;  // for one job
 // The largest jobs too begin within four minutes: room in its team's limit is gathered for a gang
 // from five eighths of that on, and made for it from three quarters on. Sooner, arrays wait longer
-// than gangs gain (docs/rounds.md, round 48).
+// than gangs gain (docs/rounds.md, round 49).
 constexpr Millis kBeginWithin = 240'000;
 constexpr Millis kGatherAfter = kBeginWithin * 5 / 8, kStopAfter = kBeginWithin * 3 / 4;
 constexpr Millis kGatherAgain = 30'000;
@@ -187,7 +187,12 @@
         if (now >= gang.gather_at) make_room_in_limit(gang, now);
         return;
     }
-    if (gang.fits_limit_since == 0) gang.fits_limit_since = now;
+    if (gang.fits_limit_since == 0) {
+        gang.fits_limit_since = now;
+        // What was said of room in the limit says nothing of room on machines.
+        gang.room_coming = false;
+        gang.make_room_at = 0;
+    }
     const Millis boot = book_.types().empty() ? 0 : seconds(book_.types().front().boot_s);
     if (now - gang.fits_limit_since <= boot + kReservation) return;
     book_.gather_no_more(gang);
