--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -25,6 +25,12 @@
 constexpr Millis kGatherAgain = 30'000;
 constexpr Millis kStopEvery = 5'000;
 constexpr std::size_t kMostSearched = 300;  // machines, for work that may be stopped
+
+// Seconds of its work.
+double stopping_costs(const Job& j, const Attempt& a, Millis now) {
+    if (j.spec.checkpoint_s > 0) return j.spec.save_s + 2;
+    return a.running_since == 0 ? 0 : static_cast<double>(now - a.running_since) / 1000.0;
+}
 }  // namespace
 
 bool Schedule::try_job(Job& j, Millis now) {
@@ -231,9 +237,7 @@
                 continue;
             }
             if (v->state != jobs::JobState::open || v->gang()) continue;
-            const double run_s =
-                a->running_since == 0 ? 0 : static_cast<double>(now - a->running_since) / 1000.0;
-            victims.push_back({v->spec.checkpoint_s > 0 ? v->spec.save_s + 2 : run_s, a.get()});
+            victims.push_back({stopping_costs(*v, *a, now), a.get()});
             their_gpus += v->spec.gpus;
             their_cpus += v->spec.cpus;
         }
@@ -318,9 +322,7 @@
             // Ending a gang throws more away than a wait for the next machine costs.
             if (v.gang() && (j.starved_since == 0 || now - j.starved_since < boot)) continue;
             double lost = v.gang() ? 40.0 * v.spec.tasks : 0;
-            double run_s =
-                a->running_since == 0 ? 0 : static_cast<double>(now - a->running_since) / 1000.0;
-            lost += v.spec.checkpoint_s > 0 ? v.spec.save_s + 2 : run_s;
+            lost += stopping_costs(v, *a, now);
             lost += 5.0 * static_cast<double>(v.spec.priority);
             if (v.patience == jobs::Patience::pressed) lost += kVictimLate;
             evictable.push_back({lost, a});
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -33,7 +33,7 @@
     std::uint64_t revision = 10;
     std::size_t kept = 10'000;  // changes that watches may still ask for
     double fails = 0;
-    double slow = 0;    // of the calls: executed at once, and answered too late to be heard
+    double slow = 0;    // of the calls: answered too late to be heard
     bool down = false;  // for everybody
     std::size_t reads = 0;
 
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -311,13 +311,14 @@
     world.begin(full);
     world.submit(gang);
     world.run_until(world.now() + 150'000);
-    std::size_t least = 12, most = 0;
+    bool gathered = false;
+    std::size_t most = 0;  // after that
     for (int n = 0; n < 100; ++n) {
         world.run_until(world.now() + 1'000);
-        if (world.running("a") <= 4) least = 0;
-        if (least == 0) most = std::max(most, world.running("a"));
+        gathered |= world.running("a") <= 4;
+        if (gathered) most = std::max(most, world.running("a"));
     }
-    EXPECT_EQ(least, 0u);  // it was gathered
+    EXPECT_TRUE(gathered);
     EXPECT_GE(most, 8u);
 }
 
--- a/tests/duties_test.cpp
+++ b/tests/duties_test.cpp
@@ -85,7 +85,7 @@
         const auto leader = town.leader();
         ASSERT_LT(leader, town.size());
         // A step of 7 ms each, so that the blow meets every step of the election that follows.
-        const auto step = static_cast<Millis>(seed % 40);
+        const auto step = static_cast<Millis>((seed - 300) % 40);
         town.crash(leader, 50 + 7 * step);
         town.run_until(town.now() + 3'900 + 7 * step);
         for (std::size_t i = 0; i < town.size(); ++i) {
@@ -104,8 +104,10 @@
         // leaves it when its hold ends.
         EXPECT_LE(without, town.late_writes > 0 ? 12'000 : town.lost > 0 ? 9'000 : 6'500);
         late += town.late_applied();
+        // What is still under way late comes within 12 s.
+        const Millis settled = town.late_writes > 0 ? 30'000 : 15'000;
         town.late_writes = 0;
-        town.run_until(town.now() + 30'000);
+        town.run_until(town.now() + settled);
         for (Duty d : duties::kAll) EXPECT_LT(town.holder(d), town.size()) << name(d);
     }
     EXPECT_GT(late, 5u);
--- a/tests/evidence_test.cpp
+++ b/tests/evidence_test.cpp
@@ -75,14 +75,16 @@
                 seen = std::max(seen, given);
                 sent.push_back(make());
                 const Message answer = sent.back();
-                const bool overtaken = e % 5 == 0;
-                if (overtaken) {  // by a report that was made later, and is heard first
+                Mark newest{session, seq};
+                if (e % 5 == 0) {  // overtaken by a report that was made later, and is heard first
                     sent.push_back(make());
-                    judge(sent.back(), contact.reported(sent.back().report, false, now));
+                    const Proof later = contact.reported(sent.back().report, false, now);
+                    judge(sent.back(), later);
+                    if (workers::proves(later)) newest = {session, seq};
                 }
                 const Proof p = contact.answered(answer.report, asked, now, now);
                 judge(answer, p);
-                if (!overtaken) RC_ASSERT(contact.newest() == (Mark{session, seq}));
+                RC_ASSERT(contact.newest() == newest);
                 if (p == Proof::anew) contact.raise(++given, now);
             } else if (e < 950) {  // its lease has ended
                 ++session;
@@ -183,8 +185,8 @@
     }
 }
 
-// While the cloud is down and cannot give it back: what is on it is started elsewhere when its lease
-// has ended, which its own reports tell.
+// While the cloud is down and cannot give it back: what is on it is started elsewhere when its
+// lease has ended, which its own reports tell.
 TEST(Evidence, ADeafMachinesLeaseEndsThoughTheCloudIsDown) {
     for (std::uint64_t seed : {61, 62, 63}) {
         SCOPED_TRACE(seed);
@@ -227,7 +229,7 @@
         const std::string name = world->working_machines().front();
         const std::size_t killed = world->killed_by_lease();
         world->mute(name, kNever);
-        // All of the other machines' tasks end or are lost: only this one looks free.
+        // The others hear none for a moment, which says nothing yet.
         for (const std::string& other : world->working_machines())
             if (other != name) world->mute(other, world->now() + 4'000);
         for (int n = 10; n < 16; ++n) {
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -101,25 +101,25 @@
     EXPECT_GT(by_old, 300u);
 }
 
-// Everything ends: what is done or cancelled is told, services run until they are cancelled.
+// Everything ends: what is done or cancelled is told, and services, every third as fill() has it,
+// are cancelled.
 void ends(World& world, const std::vector<std::string>& ids, Millis within) {
     world.calm();
+    for (const std::string& id : ids)
+        if (std::stoi(id.substr(4)) % 3 == 2) world.ask_to_cancel(id);
     const Millis until = world.now() + within;
-    while (world.now() < until && !testing::Test::HasFailure()) {
-        bool services = false;
-        for (const std::string& id : untold(world, ids))
-            services |= std::stoi(id.substr(4)) % 3 == 2;
-        if (untold(world, ids).empty()) return;
-        if (services) {
-            for (const std::string& id : ids)
-                if (std::stoi(id.substr(4)) % 3 == 2) world.ask_to_cancel(id);
-        }
+    while (world.now() < until && !untold(world, ids).empty() && !testing::Test::HasFailure())
         world.run_until(world.now() + 2'000);
-    }
     EXPECT_TRUE(untold(world, ids).empty()) << "not told: " << untold(world, ids).front() << "; "
                                             << world.what_runs() << world.book_says();
 }
 
+// Answers to some do not arrive for longer than a lease: their sessions end.
+void end_sessions(World& world, std::mt19937_64& random) {
+    for (const std::string& name : world.working_machines())
+        if (random() % 10 == 0) world.deafen(name, world.now() + 24'000);
+}
+
 // A day of one trouble that goes on and of leaders that are refused, end or stand still; users
 // cancel a third of the jobs.
 World::Met day(std::uint64_t seed, const Trouble& trouble, std::uint32_t share = 0,
@@ -171,13 +171,8 @@
     t.lost_checkin = 0.1;
     t.machine_dies = 0.01;
     World::Met met;
-    for (std::uint64_t seed = 200; seed < 260 && !HasFailure(); ++seed) {
-        add(met, day(seed, t, seed % 2 == 0 ? 1 : 0, [](World& world, std::mt19937_64& random) {
-                // Some lose their lease, so that copies are of sessions that are over.
-                for (const std::string& name : world.working_machines())
-                    if (random() % 12 == 0) world.deafen(name, world.now() + 24'000);
-            }));
-    }
+    for (std::uint64_t seed = 200; seed < 260 && !HasFailure(); ++seed)
+        add(met, day(seed, t, seed % 2 == 0 ? 1 : 0, end_sessions));
     EXPECT_GT(met.copies_of_sessions, 1'000u);
     EXPECT_GT(met.copies_of_attempts, 100u);
 }
@@ -287,12 +282,8 @@
     t.held_direct = 0.25;
     t.lost_direct = 0.1;
     World::Met met;
-    for (std::uint64_t seed = 600; seed < 720 && !HasFailure(); ++seed) {
-        add(met, day(seed, t, seed % 3 == 0 ? 1 : 0, [](World& world, std::mt19937_64& random) {
-                for (const std::string& name : world.working_machines())
-                    if (random() % 10 == 0) world.deafen(name, world.now() + 24'000);
-            }));
-    }
+    for (std::uint64_t seed = 600; seed < 720 && !HasFailure(); ++seed)
+        add(met, day(seed, t, seed % 3 == 0 ? 1 : 0, end_sessions));
     EXPECT_GT(met.held_executed, 100u);
     EXPECT_GT(met.held_refused, 500u);
 }
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -134,11 +134,14 @@
 
 World::~World() = default;
 
+World::Node* World::leading() {
+    auto it = std::find_if(nodes_.begin(), nodes_.end(), [](const auto& n) { return n->leads; });
+    return it == nodes_.end() ? nullptr : it->get();
+}
+
 dispatch::Dispatcher* World::leader() {
-    for (auto& n : nodes_) {
-        if (n->leads) return n->book.get();
-    }
-    return nullptr;
+    Node* n = leading();
+    return n == nullptr ? nullptr : n->book.get();
 }
 
 // A new leader begins a term and reads the records; the old one may go on answering for a while.
@@ -217,12 +220,17 @@
 
 void World::hold_seats() {
     seats_ = true;
-    for (auto& n : nodes_) {
-        if (n->leads) n->hold_end = now_ + duties::kHoldLife;
-    }
+    if (Node* n = leading()) n->hold_end = now_ + duties::kHoldLife;
     tend_seats();
 }
 
+// Its hold is new, or was renewed a moment ago.
+void World::hold(Node& n) {
+    n.hold_end = now_ + duties::kHoldLife;
+    n.trust_until = now_ - 20 + shorter(duties::kHoldLife);
+    if (n.book) n.book->confirm_until(n.trust_until);
+}
+
 bool World::answers(const Node& n) const {
     return now_ >= n.frozen_until && now_ < n.view + n.book->answer_for();
 }
@@ -231,16 +239,11 @@
 void World::tend_seats() {
     at(now_ + 300, [this] { tend_seats(); });
     if (!state_up()) return;
-    bool seated = false;
-    for (auto& n : nodes_) {
-        if (n->term == 0 || n->term != term_ || !n->leads) continue;
-        if (now_ >= n->refused_until && now_ >= n->frozen_until && now_ < n->hold_end) {
-            n->hold_end = now_ + duties::kHoldLife;
-            n->trust_until = now_ - 20 + shorter(duties::kHoldLife);
-            if (n->book) n->book->confirm_until(n->trust_until);
-            if (now_ - n->view > 1'700) n->view = now_ - 200;
-        }
-        seated |= now_ < n->hold_end;
+    Node* first = leading();
+    const bool seated = first != nullptr && now_ < first->hold_end;
+    if (seated && served(*first) && now_ >= first->frozen_until) {
+        hold(*first);
+        if (now_ - first->view > 1'700) first->view = now_ - 200;
     }
     // Whoever lost it hears so when it hears the state service again.
     for (auto& n : nodes_) {
@@ -249,27 +252,21 @@
         n->book.reset();
     }
     if (seated) return;
-    for (auto& n : nodes_) n->leads = false;
+    if (Node* n = leading()) n->leads = false;
     take_over();
-    Node& n = *nodes_.back();
-    n.hold_end = now_ + duties::kHoldLife;
-    n.trust_until = now_ - 20 + shorter(duties::kHoldLife);
+    hold(*nodes_.back());
 }
 
 void World::refuse_leader(Millis length) {
-    for (auto& n : nodes_) {
-        if (n->leads) n->refused_until = std::max(n->refused_until, now_ + length);
-    }
+    if (Node* n = leading()) n->refused_until = std::max(n->refused_until, now_ + length);
 }
 
 void World::state_down(Millis length) {
     const Millis until = now_ + length;
     down_until_ = std::max(down_until_, until);
     at(until, [this] {
-        for (auto& n : nodes_) {
-            // Every hold that had not ended has its full time again.
-            if (n->leads && state_up()) n->hold_end = now_ + duties::kHoldLife;
-        }
+        // Every hold that had not ended has its full time again.
+        if (Node* n = leading(); n != nullptr && state_up()) n->hold_end = now_ + duties::kHoldLife;
     });
 }
 
@@ -298,17 +295,14 @@
 
 void World::crash_leader() {
     count_unrecorded();
-    for (auto& n : nodes_) {
-        if (!n->leads) continue;
+    if (Node* n = leading()) {
         n->book.reset();
         n->refused_until = kNever;  // nobody renews its hold
     }
 }
 
 void World::freeze_leader(Millis length) {
-    for (auto& n : nodes_) {
-        if (n->leads) n->frozen_until = now_ + length;
-    }
+    if (Node* n = leading()) n->frozen_until = now_ + length;
 }
 
 void World::ask_to_cancel(const std::string& id) {
@@ -393,10 +387,9 @@
     at(now_ + after + delay(20), [this, key] {
         auto it = keys_.find(key);
         if (leader() == nullptr || it == keys_.end()) return;
-        for (auto& n : nodes_) {
-            // The watch is answered when it can be.
-            if (n->leads && (!served(*n) || now_ < n->frozen_until)) return tell_leader(key, 500);
-        }
+        // The watch is answered when it can be.
+        const Node& n = *leading();
+        if (!served(n) || now_ < n.frozen_until) return tell_leader(key, 500);
         leader()->on_open_record(*jobs::read_open(it->second.value), it->second.version, now_,
                                  now_);
         leader()->tick(now_);
@@ -635,7 +628,8 @@
         reply.machines = r.machines;
         return reply;
     }
-    if (asked.zone == trouble_.full_zone || chance(trouble_.refuse_hire) || machines_.size() > 400) {
+    if (asked.zone == trouble_.full_zone || chance(trouble_.refuse_hire) ||
+        machines_.size() > 400) {
         reply.result = fleet::HireReply::Result::no_capacity;
         return reply;
     }
--- a/tests/world.h
+++ b/tests/world.h
@@ -212,6 +212,8 @@
     void at(Millis t, std::function<void()> f) { queue_.emplace(t, std::move(f)); }
     void load(std::size_t index);
     void tend_seats();
+    void hold(Node& n);
+    Node* leading();  // as the state service sees it; null: nobody
     void count_unrecorded();
     bool served(const Node& n) const { return state_up() && now_ >= n.refused_until; }
     // It may answer workers, as far as it knows.
