--- a/tests/evidence_test.cpp
+++ b/tests/evidence_test.cpp
@@ -256,6 +256,36 @@
     }
 }
 
+// Two machines and no third: the one that hears no commands is empty first, and what was placed on
+// it began nowhere, also when the other came free.
+TEST(Evidence, NothingIsPlacedWhereNoCommandArrives) {
+    for (std::uint64_t seed : {81, 82, 83}) {
+        SCOPED_TRACE(seed);
+        World world(seed, {}, 0, {{"g4", 16, 4, 64, 50, 1, 10, 4, 10, {"a"}}});
+        admin::Options o;
+        o.keep_margin = o.hire_margin = o.spot_margin = o.replica_margin = 0;
+        world.set_options(o);
+        world.submit(job("job-1", "standing", 1, 4));
+        world.submit(job("job-2", "standing", 1, 4));
+        world.run_until(40'000);
+        ASSERT_EQ(world.running("a"), 2u);
+        Trouble full;
+        full.full_zone = "a";
+        world.begin(full);
+        const auto& attempts = world.leader()->open_jobs().at("job-1")->attempts;
+        const Index at = attempts.front()->machine;
+        world.mute(world.leader()->roster().at(at)->name, kNever);
+        world.cancel("job-1");  // its stop goes with an answer
+        world.run_until(world.now() + 12'000);
+        ASSERT_FALSE(world.final_state("job-1").empty());
+        world.submit(job("job-3", "sweep", 1, 4));
+        world.run_until(world.now() + 6'000);
+        world.cancel("job-2");
+        world.run_until(world.now() + 25'000);
+        EXPECT_EQ(world.final_state("job-3"), "done") << world.what_runs() << world.book_says();
+    }
+}
+
 // Given up by rations, as any trouble that a zone's machines share; when it is over, those that are
 // left are sound again.
 TEST(Evidence, ADeafZoneIsNotGivenUpAtOnce) {
