A gang of one zone is not kept waiting for a zone that has no machine left

It was bound to the zone with most room, coming or free, whatever it took to complete it there. Where the cloud refused the rest, nothing was asked for anywhere else for as long as that room lasted, which is for good if something keeps its machine busy. Now that zone counts in which the rest is there or can be asked for.

--- a/src/supply/supply.cpp
+++ b/src/supply/supply.cpp
@@ -123,7 +123,9 @@
                 if (in_zone[z] > 0) zone = z;
             }
         }
-        // Gangs of one zone are packed into the zone that already has most room coming.
+        // Gangs of one zone are packed into the zone that already has most room coming, of those
+        // where the rest can be had: in a zone without another machine it would be waited for as
+        // long as that room lasts.
         if (j->gang() && j->spec.one_zone && zone == kNone && j->spec.tasks > 1) {
             std::vector<std::uint32_t> room(book_.zones().size());
             for (const Bin& b : bins) {
@@ -134,8 +136,12 @@
                 room[m->zone] +=
                     placing::how_many(m->cpus_free, m->gpus_free, m->memory_free, need, tasks);
             }
-            auto most = std::max_element(room.begin(), room.end());
-            if (*most > 0) zone = static_cast<Index>(most - room.begin());
+            if (*std::max_element(room.begin(), room.end()) > 0) {
+                for (Index z = 0; z < room.size(); ++z) {
+                    if (zone != kNone && room[z] <= room[zone]) continue;
+                    if (room[z] >= tasks || cheapest(*j, need, z, false, zone_ok)) zone = z;
+                }
+            }
         }
         auto pack = [&](Bin& b) {
             if (j->allowed_type.size() <= b.type || j->allowed_type[b.type] == 0) return;
