A new leader waits neither for machines of old records nor for those of a stale list

A machine that the cloud had taken back as the leader ended could still be named by a run's record. The next leader took its tasks for alive until a lease that somebody may have given was over, three leases from its own beginning, and each later one began again: cancellations and restarts waited for nothing. Such a machine is in no block any more; it is returned after the silence of any other, and the cloud's answer proves it gone. A machine of the first list that was gone already counted as coming for 1.7 boot times, and work waited for it.

--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -71,10 +71,10 @@
         m.late = true;
         book_.touch();  // no longer counted on
     }
-    if (!m.attempts.empty() && now > m.lease_until) {
-        // Known from a record only, and its lease is long over.
-        book_.give_back(m, "known from records only");
-    }
+    // Work is placed on machines of blocks, and a block loses one only when it is gone: what is in
+    // none went as the last leader ended. The cloud's answer proves it long before its lease does.
+    if (!m.attempts.empty() && now - m.contact.reached_at() > silent_after() + kProbing)
+        book_.give_back(m, "is known from records only");
 }
 
 void Dispatcher::watch_idle(Machine& m, Millis now) {
--- a/src/domains/silence.cpp
+++ b/src/domains/silence.cpp
@@ -101,16 +101,21 @@
 // A machine stays listed until it is gone. One that was listed so long ago that this list is
 // certainly of a later moment, and is not in it, has been taken.
 void Silence::miss_from_list(const std::vector<wire::Host>& hosts, Millis asked, Millis now) {
-    if (book_.silent().empty()) return;
+    if (book_.silent().empty() && book_.coming().empty()) return;
     std::unordered_set<std::string_view> listed;
     for (const wire::Host& h : hosts) listed.insert(h.id);
     const Millis behind = longer(seconds(kListLags * term_.settings().list_lag_s)) + kListSlack;
     std::vector<Machine*> missing;
-    for (Index i : book_.silent()) {
+    auto look_for = [&](Index i) {
         Machine* m = book_.machine_at(i);
         if (m->listed_at != 0 && m->listed_at + behind < asked && listed.count(m->name) == 0) {
             missing.push_back(m);
         }
+    };
+    std::for_each(book_.silent().begin(), book_.silent().end(), look_for);
+    // A new leader's first list may show what its predecessor returned: no work is to wait for it.
+    for (Index i : book_.coming()) {
+        if (book_.silent().count(i) == 0) look_for(i);
     }
     for (Machine* m : missing) {
         spdlog::info("machine {} is not in the cloud's list any more", m->name);
