A machine that answers commands and does not report is mute, and gets no work

Answers to direct commands made it look sound for ever, and renew no lease: what was started there ended with the next one, and was started there again. It has a name now (half a lease of answers without a report), counts as silent in the failure domains, is drained where one may be given up, and its likely end counts from its last report. The simulated world has mute machines, boot times, states in stale lists, and a worker whose session is over when a command comes says so.

--- a/src/book/book.h
+++ b/src/book/book.h
@@ -147,6 +147,9 @@
     void reserve(Machine& m, Job& j, Millis until);
     void drop_reservation(Machine& m);
     void give_back(Machine& m, const char* why);
+    // It gets nothing more. Whoever can save does so in time, replicas move, and the rest goes on
+    // until its end.
+    void drain(Machine& m, const std::string& why, Millis now);
     void machine_gone(Machine& m, Millis now);
     void remind(const Machine& m, Millis at) { machine_agenda_.by(m.index, at); }
     std::vector<Index> due_machines(Millis now) { return due(machine_agenda_, now); }
--- a/src/book/machines.cpp
+++ b/src/book/machines.cpp
@@ -80,8 +80,9 @@
     if (h == m.hearing) return;
     if (h == Hearing::deaf) spdlog::info("machine {} is heard, but nothing reaches it", m.name);
     if (h == Hearing::partly) spdlog::info("machine {} hears answers, but no commands", m.name);
-    // One that answers reach runs on with all that it has.
-    auto out_of_reach = [](Hearing x) { return x == Hearing::silent || x == Hearing::deaf; };
+    if (h == Hearing::mute) spdlog::info("machine {} answers, but does not report", m.name);
+    // One that answers to its reports reach runs on with all that it has.
+    auto out_of_reach = [](Hearing x) { return x != Hearing::sound && x != Hearing::partly; };
     const bool was = out_of_reach(m.hearing), is = out_of_reach(h);
     m.hearing.own() = h;
     if (was != is) {
@@ -155,6 +156,18 @@
     set_machine_state(m, MachineState::returning);
 }
 
+void Book::drain(Machine& m, const std::string& why, Millis now) {
+    if (m.state != MachineState::ready && m.state != MachineState::joining) return;
+    spdlog::info("machine {} {}", m.name, why);
+    set_machine_state(m, MachineState::draining);
+    std::vector<Attempt*> list = m.attempts;
+    for (Attempt* a : list) {
+        // What ends here may take others out of the list.
+        if (std::find(m.attempts.begin(), m.attempts.end(), a) == m.attempts.end()) continue;
+        drain_attempt(*a, now);
+    }
+}
+
 void Book::machine_gone(Machine& m, Millis now) {
     spdlog::info("machine {} ({}) is gone with {} tasks, {:.0f} s after its hire", m.name,
                  kind_of(m), m.attempts.size(), static_cast<double>(now - m.hired_at) / 1000.0);
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -168,6 +168,7 @@
     // `session`: of what was known before.
     void absorb(Machine& m, const wire::Report& r, std::uint64_t session, bool anew, Millis now);
     void reached(Machine& m, Millis now);
+    workers::Hearing hearing(const Machine& m, Millis now) const;
     void ask(Machine& m, Millis now);
     CheckinAnswer contradicts(Machine& m, workers::Proof proof, Millis now);
     Millis silent_after() const;
--- a/src/dispatch/reports.cpp
+++ b/src/dispatch/reports.cpp
@@ -23,9 +23,15 @@
     if (workers::proves(proof)) absorb(m, r, session, proof == Proof::anew, now);
 }
 
+Hearing Dispatcher::hearing(const Machine& m, Millis now) const {
+    const Hearing h = m.contact.hearing(silent_after(), now);
+    const bool answers = h == Hearing::sound || h == Hearing::partly;
+    return answers && m.contact.mute(seconds(term_.settings().lease_s), now) ? Hearing::mute : h;
+}
+
 // Something of ours has arrived there.
 void Dispatcher::reached(Machine& m, Millis now) {
-    book_.set_hearing(m, m.contact.hearing(silent_after(), now));
+    book_.set_hearing(m, hearing(m, now));
     book_.set_shaded(m, false);
 }
 
@@ -64,17 +70,7 @@
     }
     if (r.notice_s) {
         m.warned_until = now + seconds(*r.notice_s);
-        if (m.state == MachineState::ready || m.state == MachineState::joining) {
-            spdlog::info("machine {} is taken back in {} s", m.name, *r.notice_s);
-            book_.set_machine_state(m, MachineState::draining);
-            // Whoever can save does so in time; replicas and the rest go on until the end.
-            std::vector<Attempt*> list = m.attempts;
-            for (Attempt* a : list) {
-                if (std::find(m.attempts.begin(), m.attempts.end(), a) == m.attempts.end())
-                    continue;
-                book_.drain_attempt(*a, now);
-            }
-        }
+        book_.drain(m, fmt::format("is taken back in {} s", *r.notice_s), now);
     }
     join(m, now);
     courier_.poke(m);  // what waited for its token or for a place to come free
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -44,14 +44,16 @@
     }
     // Counted before any is given up: that many fall silent together must be seen before the first
     // is returned.
-    if (m.up) book_.set_hearing(m, m.contact.hearing(probe_after, now));
+    if (m.up) book_.set_hearing(m, hearing(m, now));
     if (silent > probe_after && !m.direct_in_flight && now >= m.retry_direct_at &&
         m.state != MachineState::gone) {
         m.wants_confirm = true;
         m.retry_direct_at = now;
         courier_.poke(m);
     }
-    if (silent > lost_after && m.direct_failures > 1) silence_.give_up(m, now);
+    // One that is mute answers, and is given up while it can still save.
+    const bool mute = m.hearing == workers::Hearing::mute && m.state != MachineState::draining;
+    if (mute || (silent > lost_after && m.direct_failures > 1)) silence_.give_up(m, now);
     if (silent > seconds(term_.settings().lease_s) && deputies_.over(m.lease_until, now)) {
         // Whatever it had, it has killed by itself.
         while (!m.attempts.empty()) book_.proven_gone(*m.attempts.back(), now);
--- a/src/domains/silence.cpp
+++ b/src/domains/silence.cpp
@@ -55,7 +55,11 @@
     s.lease_until = likely_end(m);
     if (domains_.shut(m.zone)) s.replicas = all_replicas_movable(m);
     const Millis boot = m.type == kNone ? 0 : seconds(book_.types()[m.type].boot_s);
-    if (domains_.give_up(m.zone, s, boot, now)) book_.give_back(m, "is silent");
+    if (!domains_.give_up(m.zone, s, boot, now)) return;
+    if (m.hearing == workers::Hearing::mute && !term_.holder())
+        book_.drain(m, "reaches no controller", now);
+    else
+        book_.give_back(m, "is silent");
 }
 
 Millis Silence::heard_by(Index zone, Millis otherwise) const {
@@ -63,15 +67,15 @@
     return lost == lost_since_.end() ? otherwise : std::min(otherwise, lost->second);
 }
 
-// About when its tasks end by themselves: a lease after its last report, or later where a deputy
-// may be answering it.
+// About when its tasks end by themselves: a lease after its last answered report, or later where a
+// deputy may be answering it.
 Millis Silence::likely_end(const Machine& m) const {
     const bool deputy =
         m.zone != kNone &&
         std::any_of(term_.settings().peers.begin(), term_.settings().peers.end(),
                     [&](const auto& p) { return p.zone == book_.zones().name(m.zone); });
     return deputy ? deputies_.until(m.lease_until)
-                  : m.contact.reached_at() + seconds(term_.settings().lease_s);
+                  : m.contact.renewed_at() + seconds(term_.settings().lease_s);
 }
 
 // Replicas are on it, and each of them could be started in another zone. One that could not would
--- a/src/workers/contact.cpp
+++ b/src/workers/contact.cpp
@@ -17,14 +17,14 @@
 }
 
 const char* name(Hearing h) {
-    static const char* names[] = {"sound", "silent", "deaf", "partly"};
+    static const char* names[] = {"sound", "silent", "deaf", "partly", "mute"};
     return names[static_cast<int>(h)];
 }
 
 void Contact::begin(std::uint64_t token, Millis reached) {
     *this = {};
     floor_ = given_ = token;
-    given_at_ = reached_at_ = reached;
+    given_at_ = reached_at_ = heard_at_ = reached;
 }
 
 void Contact::raise(std::uint64_t token, Millis now) {
@@ -53,6 +53,7 @@
     // One report is under way at a time: whoever has sent a later one drops the answer to this.
     if (mark <= reported_) return Proof::copy;
     heard_at_ = now;
+    answered_since_ = 0;
     if (doubted_at_ == 0) doubted_at_ = now;
     // The tokens that it has seen only rise while it lives: a later message with a lower one is of
     // another life, before or after.
@@ -73,6 +74,7 @@
     const Mark mark{r.session, r.seq};
     reach(sent);
     unanswered_since_ = 0;
+    if (answered_since_ == 0) answered_since_ = now;
     // Made after it was asked, and yet not beyond what was known then.
     if (mark <= asked || life_doubted_) {
         newest_ = mark;
@@ -93,6 +95,10 @@
     if (unanswered_since_ == 0) unanswered_since_ = now;
 }
 
+bool Contact::mute(Millis lease, Millis now) const {
+    return answered_since_ != 0 && now - answered_since_ > lease / kDoubtPart;
+}
+
 void Contact::answer(Millis lease, Millis now) {
     answered_session_ = newest_.session;
     lapse_before_ = now + lease - kWorkerWaits - kSlack;
--- a/src/workers/contact.h
+++ b/src/workers/contact.h
@@ -25,7 +25,8 @@
 // silent: nothing shows that it is there
 // deaf:   its reports arrive, but answers or commands do not reach it
 // partly: answers to its reports reach it, and keep its lease; commands do not
-enum class Hearing { sound, silent, deaf, partly };
+// mute:   it answers commands, and its reports do not come: what is on it ends with its lease
+enum class Hearing { sound, silent, deaf, partly, mute };
 const char* name(Hearing h);
 
 // A message's place in the order of all that the worker says.
@@ -60,6 +61,12 @@
 
     // It counts as heard for so long after the last proof that something reached it.
     Hearing hearing(Millis patience, Millis now) const;
+    // It has answered commands for half a lease, and no report came meanwhile. A worker that seeks
+    // its way to another controller finds it sooner; what is started on one that does not ends with
+    // its lease, whatever it answers, for only an answer to a report renews that.
+    bool mute(Millis lease, Millis now) const;
+    // Nothing shows that its lease was renewed after that.
+    Millis renewed_at() const { return reached_at_ < heard_at_ ? reached_at_ : heard_at_; }
 
     bool proven() const { return newest_.session != 0; }
     const Mark& newest() const { return newest_; }  // of the messages that are proven
@@ -80,6 +87,7 @@
     Millis given_at_ = 0, reached_at_ = 0, heard_at_ = 0;
     Millis unanswered_since_ = 0;  // the first command lost since one was answered; 0: none
     Millis doubted_at_ = 0;        // the first report since it was last reached; 0: none
+    Millis answered_since_ = 0;    // the first answer since its last report; 0: none
     std::uint64_t answered_session_ = 0;
     Millis lapse_before_ = 0;  // had the last answer arrived, that session would last until then
     bool lapsed_ = false;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -322,6 +322,7 @@
     if (now_ % 4000 < 100 || !n.listed) {
         n.listed = true;
         n.book->on_hosts(list(), now_, now_);
+        count_list();
     }
     at(now_ + 100, [this, i] { tick_node(i); });
 }
@@ -334,11 +335,24 @@
     for (const auto& [name, m] : machines_) {
         if (m->hired_at > then || m->removed_at <= then) continue;
         hosts.push_back({name, name, m->type, m->zone, m->spot,
-                         m->up ? wire::HostStatus::running : wire::HostStatus::booting, 1});
+                         m->up_at <= then ? wire::HostStatus::running : wire::HostStatus::booting,
+                         1});
     }
     return hosts;
 }
 
+void World::count_list() {
+    std::map<std::string, wire::HostStatus> listed;
+    for (const wire::Host& h : list()) listed[h.id] = h.status;
+    for (const auto& [name, m] : machines_) {
+        auto it = listed.find(name);
+        if (m->removed) met_.ghosts += it != listed.end() ? 1 : 0;
+        if (m->removed || m->tasks.empty()) continue;
+        met_.unlisted += it == listed.end() ? 1 : 0;
+        met_.booting += it != listed.end() && it->second == wire::HostStatus::booting ? 1 : 0;
+    }
+}
+
 void World::set_options(const admin::Options& options) {
     options_ = options;
     options_.lent_machines = share_;
@@ -583,6 +597,7 @@
             w.now_ < it->second->deaf_until || w.now_ < it->second->mute_until)
             return;
         Machine& m = *it->second;
+        w.step(m);  // its session may have ended by now
         book::DirectReply reply;
         reply.delivery = book::Delivery::answered;
         reply.executed = token >= m.token && session == m.session;
@@ -610,7 +625,9 @@
     const auto [arrive, lost] = w.to_cloud();
     w.at(arrive, [&w, request, asked, done, lost = lost] {
         auto reply = w.rent(request, asked);
-        if (!lost) done(w.now_, reply);
+        if (lost) return;
+        for (const std::string& name : reply.machines) w.machines_[name]->answered_for = true;
+        done(w.now_, reply);
     });
     if (lost) w.at(w.now_ + 4'000, [&w, done] { done(w.now_, fleet::HireReply{}); });
 }
@@ -645,7 +662,8 @@
         reply.machines.push_back(m->name);
         std::string name = m->name;
         machines_[name] = std::move(m);
-        at(now_ + 5000 + delay(10'000), [this, name] { comes_up(name); });
+        at(now_ + trouble_.boot_least + delay(trouble_.boot_most - trouble_.boot_least),
+           [this, name] { comes_up(name); });
     }
     hires_[request] = asked;
     hires_[request].machines = reply.machines;
@@ -688,6 +706,7 @@
     Machine& m = *machines_[name];
     if (m.removed) return;
     m.up = true;
+    m.up_at = now_;
     m.lease_from = now_;
     m.target = random_() % nodes_.size();
     checkin(name, m.life);
@@ -823,6 +842,7 @@
     at(now_ + delay(10), [this, name, r, sent, session, follows, life] {
         Machine& m = *machines_[name];
         const bool deaf = now_ < m.deaf_until;
+        met_.unanswered += m.answered_for ? 0 : 1;
         const dispatch::CheckinAnswer a = hear(m.target, r, follows);
         if (m.life != life || deaf) return;
         if (a.status != 200) {
@@ -886,6 +906,7 @@
 }
 
 bool World::reaches(const Machine& m, std::size_t node) const {
+    if (now_ < m.unheard_until) return false;
     const bool inside = node < 2 && share_ > 0 && deputy_cut(node);
     const Cut* c = cut_of(m);
     if (c == nullptr) return !inside || m.zone == zone_of(node);
--- a/tests/world.h
+++ b/tests/world.h
@@ -42,6 +42,7 @@
     Millis list_lag = 0;         // its lists are as old as that, or twice as old
     bool cloud_down = false;     // the cloud executes nothing
     std::string full_zone = "";  // it has no machine left there
+    Millis boot_least = 5'000, boot_most = 15'000;
 };
 
 // A part of a zone's machines that nobody outside the zone reaches for a while.
@@ -100,6 +101,9 @@
         std::size_t held_executed = 0, held_refused = 0;  // commands, seconds late
         std::size_t late_applied = 0, late_refused = 0;   // transactions, after they were given up
         std::size_t unrecorded = 0;  // completions on no record as a leader ended
+        // Machines at work that the cloud's list lacks, or calls booting; gone ones that it shows;
+        // reports that came before the rental's answer.
+        std::size_t unlisted = 0, booting = 0, ghosts = 0, unanswered = 0;
     };
     const Met& met() const { return met_; }
     // Jobs of which all has completed, and nobody is told for longer than that.
@@ -129,6 +133,10 @@
     void deafen(const std::string& name, Millis until) { machines_[name]->deaf_until = until; }
     // Its reports are answered; no command reaches it.
     void mute(const std::string& name, Millis until) { machines_[name]->mute_until = until; }
+    // It reaches no controller; commands reach it, and its answers to them arrive.
+    void mute_reports(const std::string& name, Millis until) {
+        machines_[name]->unheard_until = until;
+    }
     const std::string& zone_of(const std::string& machine) { return machines_[machine]->zone; }
     std::vector<std::string> working_machines() const;
     std::size_t tasks_on(const std::string& machine) { return machines_[machine]->tasks.size(); }
@@ -162,10 +170,11 @@
         std::size_t target = 0;
         bool follows = false;  // its last report to that node was answered 200
         bool unanswered = false;
-        Millis deaf_until = 0, mute_until = 0;
+        bool answered_for = false;  // a rental's answer named it
+        Millis deaf_until = 0, mute_until = 0, unheard_until = 0;
         std::size_t life = 0;
         wire::Report first, last;
-        Millis hired_at = 0, removed_at = kNever;
+        Millis hired_at = 0, up_at = kNever, removed_at = kNever;
     };
     struct Rental {
         std::string type, zone;
@@ -234,6 +243,7 @@
     fleet::HireReply rent(const std::string& request, const Rental& asked);
     void take_back(const std::vector<std::string>& names, std::uint64_t term);
     std::vector<wire::Host> list() const;
+    void count_list();
     void told_cancelled(const std::string& id);
     void set_key(const std::string& key, const wire::Json& value);
     void tell_leader(const std::string& key, Millis after = 0);
