A job whose open record is gone leaves the leader's book, whoever had it

The book heard of a dropped open record only for jobs that were lent. A job that its holder ended while its block was taken back was read back from no run records, and one that ended between the reading of a list of open records and its answer was entered anew: either stood as a job that waits, with places and its team's limit taken, and checkpoints that failed for ever, for the rest of the term. Where the watch had missed changes, jobs missing in the list that is read then were kept as well.

Open records are written anew for no id, so what is dropped, or missing in a list that was asked for after the job was read, is over. The end's left-over runs are kept also where the watch tells first.

The simulated world can lose the answer of transactions of one kind that it applies at once, hear late of drops, and asserts that no end is written twice and no start follows a confirmed cancellation.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -394,11 +394,7 @@
             state_.list("open/", state::Urgency::control, [this, g, began](state::ListReply all) {
                 if (g != generation_ || book_ != Book::running) return;
                 if (all.outcome == state::Outcome::ok) {
-                    for (const auto& i : all.items) {
-                        if (auto rec = jobs::read_open(i.value)) {
-                            dispatcher_->on_open_record(*rec, i.version, wall_ms(), now());
-                        }
-                    }
+                    dispatcher_->on_open_list(all, wall_ms(), now());
                     open_revision_ = all.revision;
                     saw_cancellations(began);
                 }
@@ -414,7 +410,7 @@
         open_revision_ = std::max(open_revision_, r.revision);
         for (const auto& i : r.items) {
             if (i.deleted) {
-                dispatcher_->on_open_dropped(jobs::id_of_open_key(i.key));
+                dispatcher_->on_open_dropped(jobs::id_of_open_key(i.key), now());
                 continue;
             }
             if (auto rec = jobs::read_open(i.value)) {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/dispatcher.h"
 
 #include <algorithm>
+#include <set>
 
 namespace nickelramp::dispatch {
 
@@ -73,6 +74,18 @@
     metrics_->started(j.spec.job_class, static_cast<double>(now - j.accepted_at) / 1000.0);
 }
 
+// Every job of the book was read before the list was asked for: what the list lacks is over.
+void Dispatcher::on_open_list(const state::ListReply& all, std::int64_t wall_ms, Millis now) {
+    std::set<std::string> over;
+    for (const auto& [id, j] : book_.jobs()) over.insert(id);
+    for (const state::Item& i : all.items) {
+        over.erase(jobs::id_of_open_key(i.key));
+        if (auto record = jobs::read_open(i.value))
+            on_open_record(*record, i.version, wall_ms, now);
+    }
+    for (const std::string& id : over) on_open_dropped(id, now);
+}
+
 void Dispatcher::settle(Millis now) {
     if (book_.changed() && now >= next_pass_) pass(now);
 }
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -77,7 +77,12 @@
                         Millis now) {
         intake_.on_open_record(record, version, wall_ms, now);
     }
-    void on_open_dropped(const std::string& id) { lender_.on_open_dropped(id); }
+    // All of them, where the watch has missed changes.
+    void on_open_list(const state::ListReply& all, std::int64_t wall_ms, Millis now);
+    void on_open_dropped(const std::string& id, Millis now) {
+        lender_.on_open_dropped(id);
+        intake_.on_open_dropped(id, now);
+    }
     // Beyond that nothing new is started.
     void confirm_until(Millis until) { term_.confirm_until(until); }
     void set_fence(duties::Duty d, std::uint64_t fence) { term_.set_fence(d, fence); }
--- a/src/intake/intake.cpp
+++ b/src/intake/intake.cpp
@@ -95,6 +95,17 @@
     if (record.cancelled || record.unwanted) cancel(*j, now);
 }
 
+void Intake::on_open_dropped(const std::string& id, Millis now) {
+    Job* j = book_.job(id);
+    if (j == nullptr || j->lent_to != kNone || j->state == JobState::finished) return;
+    const bool open = j->state == JobState::open;
+    book_.set_job_state(*j, JobState::finished);
+    // Nothing was started without its open record; what was placed is given up.
+    if (open) book_.stop_all(*j, now);
+    book_.drop(id);
+    book_.touch();
+}
+
 void Intake::cancel(Job& j, Millis now) {
     if (j.state == JobState::cancelled || j.state == JobState::finished) return;
     book_.cancel(j, now);
@@ -147,11 +158,12 @@
 
 void Intake::on_finish(const std::string& id, const std::vector<std::string>& rest,
                        const state::CommitReply& reply, Millis now) {
+    if (reply.outcome == state::Outcome::ok)
+        leftovers_.insert(leftovers_.end(), rest.begin(), rest.end());
     Job* j = book_.job(id);
     if (j == nullptr) return;
     j->commit_in_flight = false;
     if (reply.outcome == state::Outcome::ok) {
-        leftovers_.insert(leftovers_.end(), rest.begin(), rest.end());
         book_.set_job_state(*j, JobState::finished);
         book_.drop(id);
         book_.touch();
--- a/src/intake/intake.h
+++ b/src/intake/intake.h
@@ -16,6 +16,9 @@
 
     void on_open_record(const jobs::OpenRecord& record, std::uint64_t version, std::int64_t wall_ms,
                         Millis now);
+    // The job is over, as the watch tells: also where this book took its records for those of one
+    // that waits. An open record is written anew for no id, so what is dropped never comes back.
+    void on_open_dropped(const std::string& id, Millis now);
     // A job's run record, found in the state service.
     void load_run(const std::string& id, std::uint32_t chunk, const jobs::RunRecord& record,
                   std::uint64_t version, std::uint64_t token, Millis now);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -293,6 +293,40 @@
     return out;
 }
 
+Millis World::completed_at(const std::string& id) const {
+    Millis last = 0;
+    for (std::uint32_t t = 0; t < specs_.at(id).tasks; ++t) {
+        auto it = done_at_.find({id, t});
+        if (it == done_at_.end()) return 0;
+        last = std::max(last, it->second);
+    }
+    return last;
+}
+
+Millis World::final_at(const std::string& id) const {
+    auto it = final_at_.find(id);
+    return it == final_at_.end() ? 0 : it->second;
+}
+
+std::size_t World::records(const std::string& prefix) const {
+    return static_cast<std::size_t>(std::count_if(
+        keys_.begin(), keys_.end(), [&](const auto& k) { return k.first.rfind(prefix, 0) == 0; }));
+}
+
+void World::list_open(Millis after) {
+    listed_at_ = now_;
+    watch_from_ = std::max(watch_from_, now_ + after);  // it goes on from the list
+    state::ListReply all;
+    all.outcome = state::Outcome::ok;
+    for (const auto& [key, stored] : keys_) {
+        if (!jobs::id_of_open_key(key).empty())
+            all.items.push_back({key, stored.value, stored.version, false});
+    }
+    at(now_ + after, [this, all, term = term_] {
+        if (leader() != nullptr && term == term_) leader()->on_open_list(all, now_, now_);
+    });
+}
+
 void World::crash_leader() {
     count_unrecorded();
     if (Node* n = leading()) {
@@ -403,7 +437,7 @@
         if (leader() == nullptr || it == keys_.end()) return;
         // The watch is answered when it can be.
         const Node& n = *leading();
-        if (!served(n) || now_ < n.frozen_until) return tell_leader(key, 500);
+        if (!served(n) || now_ < n.frozen_until || now_ < watch_from_) return tell_leader(key, 500);
         leader()->on_open_record(*jobs::read_open(it->second.value), it->second.version, now_,
                                  now_);
         leader()->tick(now_);
@@ -486,8 +520,11 @@
         if (!w.value) {
             keys_.erase(w.key);
             if (std::string id = jobs::id_of_open_key(w.key); !id.empty()) {
-                at(now_ + delay(20), [this, id] {
-                    if (leader() != nullptr) leader()->on_open_dropped(id);
+                const Millis slow = trouble_.slow_drops > 0 ? delay(trouble_.slow_drops) : 0;
+                at(std::max(now_, watch_from_) + delay(20) + slow, [this, id, then = now_] {
+                    // What the watch has missed is in the list.
+                    if (leader() != nullptr && then >= listed_at_)
+                        leader()->on_open_dropped(id, now_);
                 });
             }
             continue;
@@ -496,6 +533,11 @@
         if (w.key.rfind("job/", 0) == 0 && wire::text(*w.value, "final") == "withdrawn") {
             told_cancelled(w.key.substr(4));
         }
+        if (std::string id = w.key.substr(std::min<std::size_t>(4, w.key.size()));
+            w.key == jobs::job_key(id)) {
+            EXPECT_EQ(final_state(id), "") << "went_back: " << id << " is told twice";
+            final_at_.emplace(id, now_);
+        }
         keys_[w.key] = {*w.value, revision_};
         if (w.key.rfind("job/", 0) == 0 && wire::text(*w.value, "final") == "done") {
             std::string id = w.key.substr(4);
@@ -508,6 +550,24 @@
     return reply;
 }
 
+// Of the table in docs/design/meetings.md, as far as leaders and holders write them.
+static const char* what_of(const state::Txn& txn) {
+    bool run = false;
+    for (const auto& w : txn.writes) {
+        if (w.key.rfind("job/", 0) == 0) return "end";
+        if (w.key.rfind("block/", 0) == 0) return "block";
+        if (w.key.rfind(duties::kIntentPrefix, 0) == 0) return "intent";
+        run |= w.value.has_value();
+    }
+    return run ? "checkpoint" : "left over";
+}
+
+bool World::answer_lost_of(const state::Txn& txn) {
+    if (trouble_.at_once == 0) return false;
+    const std::string& of = trouble_.at_once_of;
+    return (of.empty() || of == what_of(txn)) && chance(trouble_.at_once);
+}
+
 void World::Node::commit(state::Txn txn,
                          std::function<void(Millis, const state::CommitReply&)> done) {
     World& w = *world;
@@ -522,10 +582,16 @@
     Millis arrive =
         w.now_ + held + (held == 0 && lost && w.chance(0.5) ? w.delay(40'000) : w.delay(10));
     const bool late = arrive > w.now_ + 2'500;
-    w.at(arrive, [&w, txn, done, lost, late] {
+    const bool at_once = !lost && w.answer_lost_of(txn);
+    lost |= at_once;
+    w.at(arrive, [&w, txn, done, lost, late, at_once] {
         state::CommitReply reply;
         reply.outcome = state::Outcome::refused;
         if (w.state_up()) reply = w.apply(txn);
+        if (at_once && reply.outcome == state::Outcome::ok) {
+            ++w.met_.at_once[what_of(txn)];
+            if (w.on_at_once) w.on_at_once(what_of(txn));
+        }
         if (late)
             ++(reply.outcome == state::Outcome::ok ? w.met_.late_applied : w.met_.late_refused);
         if (!lost) w.at(w.now_ + w.delay(5), [&w, reply, done] { done(w.now_, reply); });
@@ -951,6 +1017,8 @@
             }
         } else {
             if (!m.known.insert({c.job, c.task, c.attempt}).second) continue;
+            EXPECT_EQ(cancelled_.count(c.job), 0u)
+                << "a start after the confirmed end of " << c.job;
             ASSERT_TRUE(specs_.count(c.job));
             const wire::JobSpec& spec = specs_[c.job];
             Task t;
--- a/tests/world.h
+++ b/tests/world.h
@@ -24,7 +24,9 @@
 struct Trouble {
     double lost_direct = 0;   // a direct message's answer is lost
     double held_direct = 0;   // a direct message arrives much later
-    double lost_commit = 0;   // a transaction's outcome is unknown
+    double lost_commit = 0;   // a transaction's outcome is unknown: applied at once or late
+    double at_once = 0;       // it is applied at once, and only its answer is lost
+    std::string at_once_of;   // of transactions of this kind only (what_of); empty: of any
     double lost_checkin = 0;  // a report or its answer is lost
     double late_copy = 0;     // a report comes once more, seconds to several leases late
     double restarts = 0;      // a second, for one machine: back at once, its numbers begin anew
@@ -36,6 +38,7 @@
     double holder_dies = 0;      // a second
     double lost_back = 0;        // a message between controllers is lost
     double refused_direct = 0;   // a connection to a machine is refused
+    Millis slow_drops = 0;       // the leader hears of dropped open records so much later
     Millis slow_lists = 0;       // lists of the state service take up to so much longer
     double late_cloud = 0;       // the cloud executes a rental or a return up to a minute later
     double lost_cloud = 0;       // it executes it, and nobody hears
@@ -104,8 +107,19 @@
         // Machines at work that the cloud's list lacks, or calls booting; gone ones that it shows;
         // reports that came before the rental's answer.
         std::size_t unlisted = 0, booting = 0, ghosts = 0, unanswered = 0;
+        std::map<std::string, std::size_t> at_once;  // by kind: applied, and their answers lost
     };
     const Met& met() const { return met_; }
+    // Called when a transaction of that kind has been applied and its answer lost.
+    std::function<void(const std::string& kind)> on_at_once;
+    void after(Millis wait, std::function<void()> f) { at(now_ + wait, std::move(f)); }
+    // The last task of a job that is done has completed; its final state is on record; 0: not yet.
+    Millis completed_at(const std::string& id) const;
+    Millis final_at(const std::string& id) const;
+    std::size_t records(const std::string& prefix) const;
+    // The leader's watch has missed changes: it reads all open records, and the answer, as they are
+    // now, reaches it so much later.
+    void list_open(Millis after);
     // Jobs of which all has completed, and nobody is told for longer than that.
     std::vector<std::string> told_late(Millis longer) const;
     void set_options(const admin::Options& options);
@@ -232,6 +246,7 @@
         return 1 + static_cast<Millis>(random_() % static_cast<unsigned>(most));
     }
     state::CommitReply apply(const state::Txn& txn);
+    bool answer_lost_of(const state::Txn& txn);
     // When a call arrives at the cloud, and whether its answer is lost.
     struct Way {
         Millis arrive = 0;
@@ -306,6 +321,8 @@
     Met met_;
     std::map<TaskId, std::uint32_t> latest_;  // the last attempt of each that came to be there
     std::map<TaskId, Millis> done_at_;
+    std::map<std::string, Millis> final_at_;
+    Millis watch_from_ = 0, listed_at_ = 0;
 
   public:
     std::size_t answered_by_deputies() const { return answered_by_deputies_; }
