--- a/tests/town.cpp
+++ b/tests/town.cpp
@@ -286,10 +286,20 @@
             late = std::max(late, 2'000 + delay(10'000));
             heard = false;
         }
+        bool at_once_lost = false;
+        if constexpr (std::is_same_v<Reply, state::CommitReply> ||
+                      std::is_same_v<Reply, state::LeaseReply>)
+            at_once_lost = at_once > 0 && arrives && !late_write && chance(at_once);
+        if (at_once_lost) heard = false;
         if (arrives) {
             at(now_ + late, [=, this, &c] {
                 if (road == Road::state && now_ < down_until_) return;
+                const std::size_t before = log_.size();
                 Reply r = executed();
+                for (std::size_t i = before; at_once_lost && i < log_.size(); ++i)
+                    ++at_once_[log_[i].key];
+                if constexpr (std::is_same_v<Reply, state::LeaseReply>)
+                    at_once_["hold"] += at_once_lost ? 1 : 0;
                 if constexpr (std::is_same_v<Reply, state::CommitReply>)
                     late_applied_ += late_write && r.outcome == state::Outcome::ok ? 1 : 0;
                 if (heard) inside(c, now_ + delay(10), [&c, done, r] { done(c.local(), r); });
@@ -411,6 +421,12 @@
     changed(key, false);
 }
 
+std::size_t Town::at_once_of(const std::string& prefix) const {
+    std::size_t n = 0;
+    for (const auto& [key, times] : at_once_) n += key.rfind(prefix, 0) == 0 ? times : 0;
+    return n;
+}
+
 std::size_t Town::count(const std::string& prefix) const {
     std::size_t n = 0;
     for (const auto& [key, stored] : keys_) n += key.rfind(prefix, 0) == 0 ? 1 : 0;
--- a/tests/town.h
+++ b/tests/town.h
@@ -34,6 +34,11 @@
     double lost = 0;  // messages, of any kind
     // Transactions and releases of holds that get no answer and are carried out 2 to 12 s later.
     double late_writes = 0;
+    // Transactions, grants, renewals and releases of holds that are carried out at once and of
+    // which only the answer is lost.
+    double at_once = 0;
+    // Keys so written or dropped; "hold": holds.
+    std::size_t at_once_of(const std::string& prefix) const;
     std::size_t late_applied() const { return late_applied_; }
 
     std::size_t size() const { return all_.size(); }
@@ -112,6 +117,7 @@
     std::uint64_t last_fence_[duties::kDuties] = {};
     std::size_t acts_[duties::kDuties] = {};
     std::size_t by_helpers_ = 0, refused_ = 0, rentals_ = 0, late_applied_ = 0;
+    std::map<std::string, std::size_t> at_once_;
     Millis free_since_[duties::kDuties] = {}, gap_[duties::kDuties] = {};
 };
 
