--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -300,6 +300,65 @@
     EXPECT_GT(met.late_refused, 800u);
 }
 
+// Jobs of one task come four a second for two minutes, and a quarter of them is cancelled, with no
+// more changes than the state service takes; leaders end meanwhile in some. Nothing is forgotten or
+// piles up, what was called off is told soon, and a gang among them begins.
+TEST(Meetings, OneTaskJobsFourASecondAQuarterCancelled) {
+    std::size_t withdrawn = 0, jobs = 0, changes = 0;
+    for (std::uint64_t seed = 900; seed < 908 && !HasFailure(); ++seed) {
+        SCOPED_TRACE("seed " + std::to_string(seed));
+        std::mt19937_64 random(seed);
+        Trouble t;
+        t.changes_per_s = 40;
+        World world(seed, t);
+        world.hold_seats();
+        std::vector<std::string> ids;
+        std::map<std::string, Millis> asked;
+        std::multimap<Millis, std::string> cancels;
+        std::size_t most = 0;
+        Millis longest = 0;
+        auto look = [&] {
+            std::erase_if(asked, [&](const auto& a) {
+                if (!world.final_state(a.first).empty()) return true;
+                longest = std::max(longest, world.now() - a.second);
+                return false;
+            });
+        };
+        for (int n = 0; n < 480 && !HasFailure(); ++n) {
+            ids.push_back("job-" + std::to_string(n));
+            wire::Json spec = job(ids.back(), n == 240 ? "ensemble" : "sweep", n == 240 ? 4 : 1,
+                                  n == 240 ? 2 : 0.25);
+            if (n % 2 == 0) spec["crew"] = "blue";
+            world.submit(spec);
+            if (n != 240 && random() % 4 == 0)
+                cancels.emplace(world.now() + static_cast<Millis>(random() % 12'000), ids.back());
+            world.run_until(world.now() + 250);
+            while (!cancels.empty() && cancels.begin()->first <= world.now()) {
+                asked.emplace(cancels.begin()->second, world.now());
+                world.ask_to_cancel(cancels.begin()->second);
+                cancels.erase(cancels.begin());
+            }
+            if (seed % 2 == 0 && (n == 160 || n == 320)) world.crash_leader();
+            look();
+            most = std::max(most, untold(world, ids).size());
+            if (n == 400) {
+                EXPECT_EQ(world.final_state("job-240"), "done") << world.book_says();
+            }
+        }
+        jobs += ids.size();
+        changes += world.changes();
+        ends(world, ids, 60'000);
+        look();
+        EXPECT_LE(longest, 10'000);  // with a take-over between
+        EXPECT_LE(most, 200u);
+        for (const std::string& id : ids) withdrawn += world.final_state(id) == "withdrawn" ? 1 : 0;
+    }
+    EXPECT_GT(withdrawn, 400u);
+    // Two for its submission, one for its start, three for its end, one for its being called off,
+    // and what machines and take-overs cost.
+    EXPECT_LE(changes, jobs * 7);
+}
+
 // Whatever meets whatever: each trouble with each, in one moment or seconds apart.
 TEST(Meetings, EveryPair) {
     using Strike = std::function<void(World&, std::mt19937_64&)>;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -444,11 +444,26 @@
     });
 }
 
+bool World::takes(std::size_t changes) {
+    const double rate = trouble_.changes_per_s, some = static_cast<double>(changes);
+    if (rate > 0) {
+        const double since = static_cast<double>(now_ - budget_at_) / 1'000;
+        budget_ = std::min(rate, budget_ + rate * since);
+        budget_at_ = now_;
+        if (budget_ < some) return false;
+        budget_ -= some;
+    }
+    changes_ += changes;
+    return true;
+}
+
 void World::submit(const Json& spec) {
     std::string error;
     auto parsed = wire::parse_job(spec, error);
     ASSERT_TRUE(parsed) << error;
     specs_[parsed->id] = *parsed;
+    // Its user comes again until there is room.
+    if (!takes(2)) return at(now_ + 1'000, [this, spec] { submit(spec); });
     set_key(jobs::job_key(parsed->id), Json{{"final", nullptr}, {"tasks", parsed->tasks}});
     set_key(jobs::open_key(parsed->id), jobs::open_record(spec, now_, false));
     tell_leader(jobs::open_key(parsed->id));
@@ -459,7 +474,7 @@
     if (open == keys_.end() || !final_state(id).empty()) return;
     unwanted_.insert(id);
     Json record = open->second.value;
-    if (wire::flag(record, "unwanted").value_or(false)) return;
+    if (wire::flag(record, "unwanted").value_or(false) || !takes(1)) return;
     record["unwanted"] = true;
     state::Txn txn;
     txn.conditions = {{jobs::open_key(id), open->second.version}};
@@ -571,7 +586,7 @@
 void World::Node::commit(state::Txn txn,
                          std::function<void(Millis, const state::CommitReply&)> done) {
     World& w = *world;
-    if (!w.served(*this) || (w.seats_ && w.now_ >= trust_until)) {
+    if (!w.served(*this) || (w.seats_ && w.now_ >= trust_until) || !w.takes(txn.writes.size())) {
         state::CommitReply reply;
         reply.outcome = state::Outcome::refused;
         w.at(w.now_ + w.delay(10), [&w, reply, done] { done(w.now_, reply); });
--- a/tests/world.h
+++ b/tests/world.h
@@ -46,6 +46,7 @@
     bool cloud_down = false;     // the cloud executes nothing
     std::string full_zone = "";  // it has no machine left there
     Millis boot_least = 5'000, boot_most = 15'000;
+    double changes_per_s = 0;  // that the state service takes, a second's worth at once; 0: all
 };
 
 // A part of a zone's machines that nobody outside the zone reaches for a while.
@@ -129,8 +130,9 @@
     }
     bool struck() const { return sends_ >= strike_at_; }
     std::size_t rented() const { return hired_; }
-    std::size_t intents() const;  // on record
-    void end_holders();           // both; others begin at once
+    std::size_t intents() const;                      // on record
+    std::size_t changes() const { return changes_; }  // that the state service was asked for
+    void end_holders();                               // both; others begin at once
     std::size_t stops() const { return stops_; }
     void cut(const Cut& c);
     void take_away(const std::string& zone);  // the cloud does, all of its machines
@@ -237,6 +239,8 @@
     void tend_seats();
     void hold(Node& n);
     Node* leading();  // as the state service sees it; null: nobody
+    // Counts them. Does its limit leave room?
+    bool takes(std::size_t changes);
     void count_unrecorded();
     bool served(const Node& n) const { return state_up() && now_ >= n.refused_until; }
     // It may answer workers, as far as it knows.
@@ -317,6 +321,9 @@
     std::size_t answered_by_deputies_ = 0;
     bool seats_ = false;
     Millis down_until_ = 0;
+    std::size_t changes_ = 0;
+    double budget_ = 0;  // of changes, as of budget_at_
+    Millis budget_at_ = 0;
     std::size_t told_beside_old_ = 0, answers_by_old_ = 0;
     Met met_;
     std::map<TaskId, std::uint32_t> latest_;  // the last attempt of each that came to be there
