A lent job cannot be left between its holder and the leader

A holder that let its block go (it heard no grants for a lease and ten seconds, or the block's record was written again as the cloud listed one of its machines as failed, so that its transactions failed) does not take it up again under the same token. The leader went on granting it while it heard the holder's status.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -122,7 +122,7 @@
             {[this](const peers::Status& s) { heard(s); },
              [this](const peers::Grant& g) { granted(g); },
              [this](const peers::News& n) {
-                 if (book_ == Book::running) dispatcher_->on_news(n);
+                 if (book_ == Book::running) dispatcher_->on_news(n, now());
              },
              [this](const peers::Leave& l) {
                  leader_heard_at_ = now();
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -98,7 +98,7 @@
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now) {
         return lender_.grants(view_fresh, now);
     }
-    void on_news(const peers::News& news) { lender_.on_news(news); }
+    void on_news(const peers::News& news, Millis now) { lender_.on_news(news, now); }
     // The leaves to send now, to those that may answer machines when the leader is out of reach.
     std::vector<std::pair<std::string, peers::Leave>> leaves(Millis view_fresh, Millis now);
     Millis answer_for() const { return deputies_.answer_for(); }
--- a/src/sharing/lender.cpp
+++ b/src/sharing/lender.cpp
@@ -105,7 +105,7 @@
     Lease& l = it->second;
     if (l.state == LeaseState::wanted) {
         set_lease_state(block, l, LeaseState::granted);
-        l.over_at = now;
+        l.over_at = l.said_at = now;
         return;
     }
     if (l.state != LeaseState::reclaimed) return;
@@ -227,9 +227,10 @@
     return out;
 }
 
-void Lender::on_news(const peers::News& news) {
+void Lender::on_news(const peers::News& news, Millis now) {
     for (auto& [block, l] : leases_) {
         if (l.holder != news.from || grants_.ledger().block(block).token != news.token) continue;
+        l.said_at = now;
         for (const peers::News::Job& n : news.jobs) {
             Job* j = book_.job(n.id);
             if (j == nullptr || j->lent_to != block) continue;
@@ -253,7 +254,9 @@
             bool idle = now - l.idle_since > kIdleLease;
             bool unhealthy = peer != peers_.end() &&
                              (!peer->second.healthy || peer->second.incarnation != l.incarnation);
-            if (lost || idle || unhealthy || term_.options().lent_machines == 0 ||
+            // It has let the block go and does not take it up again, or has never heard of it.
+            const bool silent = now - l.said_at > kIdleLease;
+            if (lost || idle || unhealthy || silent || term_.options().lent_machines == 0 ||
                 (starving_ && l.jobs.empty())) {
                 set_lease_state(block, l, LeaseState::ending);
             }
--- a/src/sharing/lender.h
+++ b/src/sharing/lender.h
@@ -40,6 +40,7 @@
         LeaseState state = LeaseState::wanted;
         Millis over_at = 0;  // by then the holder has stopped, by its own clock
         Millis idle_since = 0;
+        Millis said_at = 0;  // the holder last said that it has the block
         std::vector<Room> room;
         std::vector<std::string> jobs;
     };
@@ -68,7 +69,7 @@
 
     // The grants to send now; each renews a lease.
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
-    void on_news(const peers::News& news);
+    void on_news(const peers::News& news, Millis now);
     // An open record has gone: whoever held the job has finished it.
     void on_open_dropped(const std::string& id);
     void block_recorded(std::uint32_t block, Millis now);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -105,7 +105,7 @@
         at(now_ + delay(20), [this, s, news] {
             if (leader() == nullptr) return;
             leader()->peer_heard(s, now_);
-            if (news) leader()->on_news(*news);
+            if (news) leader()->on_news(*news, now_);
         });
     }
     at(now_ + 50, [this] {
