Tests of what meets while one controller's work goes to another

The world reads records in pages and one list after the other where lists are slow, keeps reports for the next leader as copies or held back on their way, delays or loses the leader's watch, lets machines be listed as failed, and holders hear nothing.

--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -112,7 +112,7 @@
         if (leader() == nullptr) return;
         for (auto& [name, l] : leader()->leaves(now_ - 200, now_)) {
             std::size_t i = name == holder_settings_[0].name ? 0 : 1;
-            if (chance(trouble_.lost_back) || deputy_cut(i)) continue;
+            if (chance(trouble_.lost_back) || deputy_cut(i) || trouble_.one_way) continue;
             at(now_ + delay(20), [this, i, leave = l] {
                 Node& n = *nodes_[i];
                 n.leader_at = now_;
@@ -121,7 +121,7 @@
         }
         for (auto& [name, g] : leader()->grants(now_ - 200, now_)) {
             std::size_t i = name == holder_settings_[0].name ? 0 : 1;
-            if (chance(trouble_.lost_back) || deputy_cut(i)) continue;
+            if (chance(trouble_.lost_back) || deputy_cut(i) || trouble_.one_way) continue;
             Millis late = chance(trouble_.lost_back) ? delay(6000) : delay(20);
             at(now_ + late, [this, i, grant = g] {
                 auto& h = *nodes_[i]->holding;
@@ -167,15 +167,46 @@
     load(index);
 }
 
-// The new leader reads the records.
+// The new leader reads the records: users' wishes, blocks, intents and checkpoints, one list after
+// the other and in pages, as the program does. Where lists are not slow it takes no time.
 void World::load(std::size_t index) {
     Node& n = *nodes_[index];
     if (!n.leads) return;
-    if (!served(n)) {
+    if (!served(n) || now_ < n.frozen_until) {
         at(now_ + 500, [this, index] { load(index); });
         return;
     }
-    n.view = now_;
+    auto got = std::make_shared<Reading>();
+    got->began = now_;
+    got->revision = revision_;
+    read_on(index, std::move(got));
+}
+
+void World::read_on(std::size_t index, std::shared_ptr<Reading> got) {
+    static const char* prefixes[] = {"open/", "run/", "block/", duties::kIntentPrefix};
+    constexpr std::size_t kPage = 4;
+    Node& n = *nodes_[index];
+    if (!n.leads) return;
+    if (!served(n) || now_ < n.frozen_until) return load(index);  // from the beginning
+    for (; got->prefix < std::size(prefixes); ++got->prefix, got->after.clear()) {
+        const std::string prefix = prefixes[got->prefix];
+        auto it = keys_.upper_bound(std::max(prefix, got->after));
+        for (std::size_t i = 0; it != keys_.end() && it->first.rfind(prefix, 0) == 0; ++it, ++i) {
+            if (trouble_.slow_lists > 0 && i == kPage) break;
+            got->records[it->first] = it->second;
+            got->after = it->first;
+        }
+        if (trouble_.slow_lists == 0) continue;
+        if (it == keys_.end() || it->first.rfind(prefix, 0) != 0) ++got->prefix, got->after.clear();
+        at(now_ + delay(trouble_.slow_lists), [this, index, got] { read_on(index, got); });
+        return;
+    }
+    begin_book(index, *got);
+}
+
+void World::begin_book(std::size_t index, const Reading& got) {
+    Node& n = *nodes_[index];
+    n.view = got.began;
     book::Outbox& outbox = n;
     n.book = std::make_unique<dispatch::Dispatcher>(
         settings_, dispatch::TermInfo{n.term, "lead/term", keys_["lead/term"].version}, outbox,
@@ -188,7 +219,7 @@
     }
     options_.lent_machines = share_;
     n.book->set_options(options_);
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         std::uint32_t b = 0;
         if (!blocks::parse_block_key(key, b)) continue;
         auto block = blocks::read_block(stored.value);
@@ -196,16 +227,16 @@
         block->version = stored.version;
         n.book->load_block(b, *block);
     }
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         if (key.rfind(duties::kIntentPrefix, 0) == 0)
             n.book->load_intents(key, stored.value, stored.version);
     }
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         if (!jobs::id_of_open_key(key).empty()) {
             n.book->load_job(*jobs::read_open(stored.value), stored.version, now_, now_);
         }
     }
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         std::string id;
         std::uint32_t chunk = 0;
         if (jobs::parse_run_key(key, id, chunk)) {
@@ -213,9 +244,55 @@
         }
     }
     n.book->start(now_);
+    // The watch goes on from the first page.
+    for (const auto& [key, stored] : keys_) {
+        if (jobs::id_of_open_key(key).empty() || stored.version <= got.revision) continue;
+        ++met_.wishes_while_read;
+        tell_leader(key);
+    }
+    replay_kept();
     at(now_ + 100, [this, index] { tick_node(index); });
 }
 
+bool World::reading() {
+    Node* n = leading();
+    return n != nullptr && !n->book && n->refused_until != kNever;
+}
+
+Millis World::watched() {
+    const Millis t = now_ + delay(20 + trouble_.slow_watch);
+    return trouble_.slow_watch == 0 ? t : watched_at_ = std::max(watched_at_, t);
+}
+
+// A copy, or the report itself where it was on its way to one node.
+void World::keep_for_next(const wire::Report& r, std::size_t node, bool follows) {
+    if (kept_.size() < 400) kept_.push_back({r, node, follows, machines_[r.machine]->life});
+}
+
+// Copies reach every controller in the moment in which one begins, and again when it has acted;
+// what was held on its way arrives then.
+void World::replay_kept() {
+    for (Kept& k : std::exchange(kept_, {})) {
+        const Machine& m = *machines_[k.report.machine];
+        ++met_.kept;
+        met_.kept_of_gone += m.removed || m.dead ? 1 : 0;
+        met_.kept_of_lives += m.life != k.life || m.session > k.report.session ? 1 : 0;
+        auto everywhere = [this, k] {
+            for (std::size_t i = 0; i < nodes_.size(); ++i)
+                if (k.node == SIZE_MAX || k.node == i) hear(i, k.report, k.follows && k.node == i);
+        };
+        if (k.node == SIZE_MAX) {
+            everywhere();
+            at(now_ + delay(3'000), everywhere);
+        } else {
+            ++met_.heard_held;
+        }
+        at(now_ + delay(40'000), everywhere);
+        // And at whoever leads by then.
+        at(now_ + delay(40'000), [this, k] { hear(nodes_.size() - 1, k.report, false); });
+    }
+}
+
 // --- seats
 
 void World::hold_seats() {
@@ -270,6 +347,18 @@
     });
 }
 
+void World::lose_watch(Millis length) {
+    watch_lost_until_ = now_ + length;
+    at(watch_lost_until_, [this] {
+        if (leader() == nullptr) return;
+        state::ListReply all;
+        for (const auto& [key, stored] : keys_)
+            if (!jobs::id_of_open_key(key).empty())
+                all.items.push_back({key, stored.value, stored.version, false});
+        leader()->on_open_list(all, now_, now_);
+    });
+}
+
 void World::count_unrecorded() {
     for (const TaskId& id : done_) {
         if (!final_state(id.first).empty()) continue;
@@ -369,7 +458,9 @@
     for (const auto& [name, m] : machines_) {
         if (m->hired_at > then || m->removed_at <= then) continue;
         hosts.push_back({name, name, m->type, m->zone, m->spot,
-                         m->up_at <= then ? wire::HostStatus::running : wire::HostStatus::booting,
+                         m->failed          ? wire::HostStatus::failed
+                         : m->up_at <= then ? wire::HostStatus::running
+                                            : wire::HostStatus::booting,
                          1});
     }
     return hosts;
@@ -432,9 +523,9 @@
 }
 
 void World::tell_leader(const std::string& key, Millis after) {
-    at(now_ + after + delay(20), [this, key] {
+    at(after + watched(), [this, key] {
         auto it = keys_.find(key);
-        if (leader() == nullptr || it == keys_.end()) return;
+        if (leader() == nullptr || it == keys_.end() || now_ < watch_lost_until_) return;
         // The watch is answered when it can be.
         const Node& n = *leading();
         if (!served(n) || now_ < n.frozen_until || now_ < watch_from_) return tell_leader(key, 500);
@@ -536,9 +627,9 @@
             keys_.erase(w.key);
             if (std::string id = jobs::id_of_open_key(w.key); !id.empty()) {
                 const Millis slow = trouble_.slow_drops > 0 ? delay(trouble_.slow_drops) : 0;
-                at(std::max(now_, watch_from_) + delay(20) + slow, [this, id, then = now_] {
+                at(std::max(watched(), watch_from_) + slow, [this, id, then = now_] {
                     // What the watch has missed is in the list.
-                    if (leader() != nullptr && then >= listed_at_)
+                    if (leader() != nullptr && then >= listed_at_ && now_ >= watch_lost_until_)
                         leader()->on_open_dropped(id, now_);
                 });
             }
@@ -805,6 +896,11 @@
     m.tasks.clear();
 }
 
+void World::fail_machine(const std::string& name) {
+    kill_machine(name);
+    machines_[name]->failed = true;
+}
+
 wire::Report World::report_of(Machine& m) {
     wire::Report r;
     r.machine = r.address = m.name;
@@ -919,6 +1015,8 @@
     if (m.first.machine.empty()) m.first = r;
     m.last = r;
     late_copies(r);
+    if (chance(trouble_.for_next)) keep_for_next(r, SIZE_MAX, false);
+    if (chance(trouble_.held_checkin)) return keep_for_next(r, m.target, follows);
     if (chance(trouble_.lost_checkin) || !reaches(m, m.target)) return;
     at(now_ + delay(10), [this, name, r, sent, session, follows, life] {
         Machine& m = *machines_[name];
@@ -994,6 +1092,40 @@
     return inside && m.zone == zone_of(node);
 }
 
+std::string World::out_of_step() {
+    if (leader() == nullptr) return "nobody leads";
+    for (const auto& [id, j] : leader()->open_jobs()) {
+        if (keys_.count(jobs::open_key(id)) == 0 && j->state != jobs::JobState::finished)
+            return id + " is over, and in the book as " + jobs::name(j->state);
+    }
+    for (const auto& [key, stored] : keys_) {
+        const std::string id = jobs::id_of_open_key(key);
+        if (!id.empty() && leader()->open_jobs().count(id) == 0) return id + " is not in the book";
+    }
+    return "";
+}
+
+double World::uses(const std::string& team) const {
+    double sum = 0;
+    for (const auto& [name, m] : machines_) {
+        if (m->removed || m->dead) continue;
+        for (const auto& [id, t] : m->tasks) {
+            const wire::JobSpec& spec = specs_.at(id.first);
+            sum += t.phase != "exited" && spec.team == team ? spec.gpus : 0;
+        }
+    }
+    return sum;
+}
+
+std::size_t World::on_machines(const std::string& id) const {
+    std::size_t n = 0;
+    for (const auto& [name, m] : machines_) {
+        if (m->removed || m->dead) continue;
+        for (const auto& [task, t] : m->tasks) n += on_machine(t) && task.first == id ? 1 : 0;
+    }
+    return n;
+}
+
 std::size_t World::running(const std::string& zone) const {
     std::size_t n = 0;
     for (const auto& [name, m] : machines_) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -40,6 +40,10 @@
     double refused_direct = 0;   // a connection to a machine is refused
     Millis slow_drops = 0;       // the leader hears of dropped open records so much later
     Millis slow_lists = 0;       // lists of the state service take up to so much longer
+    Millis slow_watch = 0;       // changes of open records are heard up to so much later
+    double for_next = 0;         // a report's copy is kept for the next leader
+    double held_checkin = 0;     // a report arrives only when the next leader has acted
+    bool one_way = false;        // holders are heard, and hear nothing
     double late_cloud = 0;       // the cloud executes a rental or a return up to a minute later
     double lost_cloud = 0;       // it executes it, and nobody hears
     Millis list_lag = 0;         // its lists are as old as that, or twice as old
@@ -90,6 +94,7 @@
     void hold_seats();
     void refuse_leader(Millis length);  // the state service refuses it, and nobody else
     void state_down(Millis length);
+    void lose_watch(Millis length);  // the leader's; then it reads all open records again
     bool state_up() const { return now_ >= down_until_; }
     void crash_leader();
     void freeze_leader(Millis length);
@@ -109,6 +114,10 @@
         // reports that came before the rental's answer.
         std::size_t unlisted = 0, booting = 0, ghosts = 0, unanswered = 0;
         std::map<std::string, std::size_t> at_once;  // by kind: applied, and their answers lost
+        // Kept reports as a leader began: all, of machines that are gone, of those that began anew.
+        std::size_t kept = 0, kept_of_gone = 0, kept_of_lives = 0;
+        std::size_t heard_held = 0;         // that had been held back
+        std::size_t wishes_while_read = 0;  // changes after its first read, before its book
     };
     const Met& met() const { return met_; }
     // Called when a transaction of that kind has been applied and its answer lost.
@@ -143,6 +152,8 @@
     std::size_t machines() const { return machines_.size(); }
     const std::vector<std::string>& hired_types() const { return hired_types_; }  // in order
     void kill_machine(const std::string& name);
+    // It stops by itself, and the cloud's list says so.
+    void fail_machine(const std::string& name);
     // Its worker is back at once, with its numbers anew and nothing on it.
     void restart_machine(const std::string& name);
     // Its reports arrive; no answer and no command reaches it.
@@ -163,6 +174,10 @@
     std::size_t answered_copies() const { return answered_copies_; }
     std::string any_machine();
     dispatch::Dispatcher* leader();
+    std::string out_of_step();  // a job that the leader's book or the records alone have
+    bool reading();             // a leader has begun, and has no book yet
+    double uses(const std::string& team) const;  // gpus, by what has a place on its machines
+    std::size_t on_machines(const std::string& id) const;  // tasks of the job, likewise
     std::string what_runs() const;
     std::string book_says();
 
@@ -178,6 +193,7 @@
     struct Machine {
         std::string name, type, zone;
         bool spot = false, up = false, dead = false, sick = false, removed = false;
+        bool failed = false;
         std::uint64_t session = 1, seq = 0, token = 0;
         Millis lease_from = 0;
         std::map<TaskId, Task> tasks;
@@ -235,7 +251,20 @@
     };
 
     void at(Millis t, std::function<void()> f) { queue_.emplace(t, std::move(f)); }
+    // What a leader has read so far: at what time and revision the first page, and where it is.
+    struct Reading {
+        Millis began = 0;
+        std::uint64_t revision = 0;
+        std::map<std::string, Stored> records;
+        std::string after;
+        std::size_t prefix = 0;
+    };
     void load(std::size_t index);
+    void read_on(std::size_t index, std::shared_ptr<Reading> got);
+    void begin_book(std::size_t index, const Reading& got);
+    void replay_kept();
+    void keep_for_next(const wire::Report& r, std::size_t node, bool follows);
+    Millis watched();  // when a change of now is heard
     void tend_seats();
     void hold(Node& n);
     Node* leading();  // as the state service sees it; null: nobody
@@ -326,6 +355,14 @@
     Millis budget_at_ = 0;
     std::size_t told_beside_old_ = 0, answers_by_old_ = 0;
     Met met_;
+    Millis watched_at_ = 0, watch_lost_until_ = 0;
+    struct Kept {
+        wire::Report report;
+        std::size_t node = SIZE_MAX;  // it was held on its way there; else a copy, to all
+        bool follows = false;
+        std::size_t life = 0;
+    };
+    std::vector<Kept> kept_;
     std::map<TaskId, std::uint32_t> latest_;  // the last attempt of each that came to be there
     std::map<TaskId, Millis> done_at_;
     std::map<std::string, Millis> final_at_;
