--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -1015,8 +1015,9 @@
     if (m.first.machine.empty()) m.first = r;
     m.last = r;
     late_copies(r);
-    if (chance(trouble_.for_next)) keep_for_next(r, SIZE_MAX, false);
-    if (chance(trouble_.held_checkin)) return keep_for_next(r, m.target, follows);
+    if (trouble_.for_next > 0 && chance(trouble_.for_next)) keep_for_next(r, SIZE_MAX, false);
+    if (trouble_.held_checkin > 0 && chance(trouble_.held_checkin))
+        return keep_for_next(r, m.target, follows);
     if (chance(trouble_.lost_checkin) || !reaches(m, m.target)) return;
     at(now_ + delay(10), [this, name, r, sent, session, follows, life] {
         Machine& m = *machines_[name];
