--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -52,7 +52,8 @@
         courier_.poke(m);
     }
     // One that is mute answers, and is given up while it can still save.
-    const bool mute = m.hearing == workers::Hearing::mute && m.state != MachineState::draining;
+    const bool stays = m.usable() || m.state == MachineState::joining;
+    const bool mute = m.hearing == workers::Hearing::mute && stays;
     if (mute || (silent > lost_after && m.direct_failures > 1)) silence_.give_up(m, now);
     if (silent > seconds(term_.settings().lease_s) && deputies_.over(m.lease_until, now)) {
         // Whatever it had, it has killed by itself.
