--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -362,6 +362,18 @@
     EXPECT_GT(ghosts, 10u);
 }
 
+// A list may be older than the one before: only one that is certainly later proves anything.
+TEST(Reach, AListThatLacksAMachineMayBeTheOlderOne) {
+    World world(560, {});
+    world.run_until(10'000);
+    world.leader()->on_hosts({{"i-9", "i-9", "g4", "a", false, wire::HostStatus::booting, 1}},
+                             world.now(), world.now());
+    world.run_until(20'000);  // others that lack it have come meanwhile
+    EXPECT_NE(world.leader()->roster().find("i-9"), nullptr);
+    world.run_until(26'000);
+    EXPECT_EQ(world.leader()->roster().find("i-9"), nullptr);
+}
+
 // The zone with most room left has no machine more: the gang must not wait for it.
 TEST(Reach, AGangOfOneZoneGoesWhereTheRestCanBeHad) {
     World world(500, {}, 0, {{"g4", 16, 4, 64, 50, 1, 10, 4, 10, {"a", "b"}}});
