--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -163,7 +163,7 @@
 // Nothing is started on it again and again only to end with its lease; cancellations are carried
 // out there at once; it goes back, or, while the cloud is down, stays without work.
 TEST(Reach, MuteMachines) {
-    std::size_t lost = 0, told = 0;
+    std::size_t lost = 0, told = 0, stopped = 0;
     each_seed(100, 40, [&](std::uint64_t seed) {
         Day day(seed, {}, seed % 3 == 0 ? 1 : 0);
         for (int n = 0; n < 4; ++n) day.enter("standing", 2, 2);
@@ -171,7 +171,7 @@
         day.run(40'000);
         const std::size_t before = day.running(), killed = day.world.killed_by_lease();
         const std::string mute = day.world.working_machines()[seed % 3];
-        const std::size_t there = day.world.tasks_on(mute);
+        const std::size_t there = day.world.tasks_on(mute), stops = day.world.stops();
         day.world.mute_reports(mute, kNever);
         Trouble t;
         t.cloud_down = seed % 2 == 0;
@@ -185,6 +185,7 @@
         // Each of its tasks once, and what a new leader placed on it before it knew.
         EXPECT_LE(day.world.killed_by_lease() - killed, 2 * there);
         lost += day.world.killed_by_lease() - killed;
+        stopped += day.world.stops() - stops;
         // Those that are mute from now on run what is called off.
         for (const std::string& name : day.world.working_machines())
             if (day.random() % 2 == 0) day.world.mute_reports(name, day.world.now() + 60'000);
@@ -195,6 +196,7 @@
         day.all_end(kOver + 25'000);
     });
     EXPECT_GT(lost, 5u);
+    EXPECT_GT(stopped, 40u);  // in time to save
     EXPECT_EQ(told, 40u);
 }
 
