--- a/tests/world.h
+++ b/tests/world.h
@@ -25,32 +25,32 @@
     double lost_direct = 0;   // a direct message's answer is lost
     double held_direct = 0;   // a direct message arrives much later
     double lost_commit = 0;   // a transaction's outcome is unknown: applied at once or late
-    double at_once = 0;       // it is applied at once, and only its answer is lost
-    std::string at_once_of;   // of transactions of this kind only (what_of); empty: of any
     double lost_checkin = 0;  // a report or its answer is lost
     double late_copy = 0;     // a report comes once more, seconds to several leases late
     double restarts = 0;      // a second, for one machine: back at once, its numbers begin anew
     double refuse_hire = 0;
-    double sick = 0;             // machines that fail every task
-    double machine_dies = 0;     // a second, for one machine
-    double takeover = 0;         // a second
-    double linger = 0;           // share of deposed leaders that go on answering for a while
-    double holder_dies = 0;      // a second
-    double lost_back = 0;        // a message between controllers is lost
-    double refused_direct = 0;   // a connection to a machine is refused
-    Millis slow_drops = 0;       // the leader hears of dropped open records so much later
-    Millis slow_lists = 0;       // lists of the state service take up to so much longer
-    Millis slow_watch = 0;       // changes of open records are heard up to so much later
-    double for_next = 0;         // a report's copy is kept for the next leader
-    double held_checkin = 0;     // a report arrives only when the next leader has acted
-    bool one_way = false;        // holders are heard, and hear nothing
-    double late_cloud = 0;       // the cloud executes a rental or a return up to a minute later
-    double lost_cloud = 0;       // it executes it, and nobody hears
-    Millis list_lag = 0;         // its lists are as old as that, or twice as old
-    bool cloud_down = false;     // the cloud executes nothing
-    std::string full_zone = "";  // it has no machine left there
+    double sick = 0;              // machines that fail every task
+    double machine_dies = 0;      // a second, for one machine
+    double takeover = 0;          // a second
+    double linger = 0;            // share of deposed leaders that go on answering for a while
+    double holder_dies = 0;       // a second
+    double lost_back = 0;         // a message between controllers is lost
+    double refused_direct = 0;    // a connection to a machine is refused
+    Millis slow_lists = 0;        // lists of the state service take up to so much longer
+    double late_cloud = 0;        // the cloud executes a rental or a return up to a minute later
+    double lost_cloud = 0;        // it executes it, and nobody hears
+    Millis list_lag = 0;          // its lists are as old as that, or twice as old
+    bool cloud_down = false;      // the cloud executes nothing
+    std::string full_zone = "";   // it has no machine left there
+    double at_once = 0;           // a transaction is applied, and only its answer is lost
+    std::string at_once_of = "";  // of transactions of this kind only (what_of); empty: of any
+    Millis slow_drops = 0;        // the leader hears of dropped open records so much later
     Millis boot_least = 5'000, boot_most = 15'000;
     double changes_per_s = 0;  // that the state service takes, a second's worth at once; 0: all
+    Millis slow_watch = 0;     // changes of open records are heard up to so much later
+    double for_next = 0;       // a report's copy is kept for the next leader
+    double held_checkin = 0;   // a report arrives only when the next leader has acted
+    bool one_way = false;      // holders are heard, and hear nothing
 };
 
 // A part of a zone's machines that nobody outside the zone reaches for a while.
