Nothing but machines and limits holds a job back for longer than 60 s

The operators' rule is that no job waits for 90 s while a machine that fits has room and its team is under its limit.

--- a/src/book/attempts.cpp
+++ b/src/book/attempts.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 constexpr Millis kBackOffFirst = 10'000;
-constexpr Millis kBackOffMost = 120'000;
+constexpr Millis kBackOffMost = jobs::kMostHeld * 3 / 4;  // from one trial's beginning to the next
 constexpr Millis kProbation = 30'000;
 constexpr Millis kRunsWell = 5'000;
 constexpr std::size_t kJobAtFault = 3;      // machines a job has failed on
@@ -132,6 +132,7 @@
     ++j.unrecorded.own();
     j.chunks[task / jobs::kChunkTasks].dirty = true;
     if (m.reserved_for == j.index) drop_reservation(m);
+    j.reserves_since = j.withheld_since = 0;
     placing::touch_image(m, types_[m.type], j.image, j.spec.image_gb, false, now);
     return &a;
 }
@@ -196,7 +197,7 @@
             j.mark_done(a.task);
         }
     } else if (cause == ExitCause::error && m != nullptr) {
-        note_error(j, *m, now);
+        note_error(j, a, *m, now);
     } else if (cause == ExitCause::unknown) {
         j.hold_until = now + kBackOffFirst / 2;
     } else if ((cause == ExitCause::no_room || cause == ExitCause::busy) && m != nullptr) {
@@ -332,16 +333,22 @@
 
 // Which is at fault, the machine or the job? A machine that fails several jobs is; a job that fails
 // on several machines is.
-void Book::note_error(Job& j, Machine& m, Millis now) {
-    auto add = [](std::vector<Index>& list, Index i) {
-        if (std::find(list.begin(), list.end(), i) == list.end()) list.push_back(i);
+void Book::note_error(Job& j, const Attempt& a, Machine& m, Millis now) {
+    auto add = [](std::vector<Index>& list, Index i, bool again) {
+        if (again || std::find(list.begin(), list.end(), i) == list.end()) list.push_back(i);
     };
-    add(j.failed_on, m.index);
-    add(m.failed_jobs, j.index);
+    // One that fails on the same machine each time that it is tried again there counts as at fault
+    // too: it once took the only place from others for ever.
+    const bool again = j.failed_on.size() < kJobAtFault && now >= m.probation_until;
+    add(j.failed_on, m.index, again);
+    add(m.failed_jobs, j.index, false);
     spdlog::info("task of {} failed on {} ({} machines failed it, {} jobs failed there)", j.spec.id,
                  m.name, j.failed_on.size(), m.failed_jobs.size());
     if (j.failed_on.size() >= kJobAtFault) {
-        j.hold_until = now + std::min(kBackOffMost, kBackOffFirst << std::min(j.back_offs, 6u));
+        // From when the trial began: an image that takes long to fetch makes none of them longer.
+        const Millis next =
+            a.placed_at + std::min(kBackOffMost, kBackOffFirst << std::min(j.back_offs, 6u));
+        j.hold_until = std::max(next, now + kBackOffFirst / 2);
         ++j.back_offs;
         j.on_trial = true;
         // Its failures say nothing about the machines.
--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -11,6 +11,10 @@
 
 using jobs::JobState;
 
+namespace {
+constexpr Millis kGatherPause = 30'000;  // others may have what was gathered for so long
+}
+
 Book::Book(Term& term, Listener& listener, Turn& turn, Millis now)
     : term_(term),
       listener_(listener),
@@ -25,7 +29,7 @@
     team_names_.add(rule.name);
     team_rules_.push_back(rule);
     team_use_.emplace_back();
-    gathering_.push_back(kNone);
+    gathering_.emplace_back();
     guarantees_.push_back(std::make_unique<Guarantee>(rule));
 }
 
@@ -196,20 +200,41 @@
 }
 
 const Job* Book::gathers(Index team) const {
-    const Index i = gathering_[team];
+    const Index i = gathering_[team].gang;
     const Job* j = i == kNone ? nullptr : slots_[i];
     // It has begun, is over, or its place in the list is another's.
     return j != nullptr && j->team == team && j->gang() && j->unstarted() > 0 ? j : nullptr;
 }
 
-void Book::gather(const Job& gang) {
+void Book::gather(const Job& gang, Millis now) {
+    if (!may_gather(gang.team, now)) return;
+    Gathering& g = gathering_[gang.team];
+    if (now - g.since > jobs::kMostHeld) g.since = now;
     const Job* first = gathers(gang.team);
-    if (first == nullptr || gang.accepted_at < first->accepted_at)
-        gathering_[gang.team] = gang.index;
+    if (first == nullptr || gang.accepted_at < first->accepted_at) g.gang = gang.index;
 }
 
 void Book::gather_no_more(const Job& gang) {
-    if (gathering_[gang.team] == gang.index) gathering_[gang.team] = kNone;
+    Gathering& g = gathering_[gang.team];
+    if (g.gang == gang.index) g.gang = kNone;
+}
+
+bool Book::may_gather(Index team, Millis now) const {
+    const Millis spell = now - gathering_[team].since;
+    return spell <= jobs::kMostHeld || spell > jobs::kMostHeld + kGatherPause;
+}
+
+void Book::pause_gathering(const Job& gang, Millis now) {
+    Gathering& g = gathering_[gang.team];
+    if (g.gang != gang.index) return;
+    g.gang = kNone;
+    g.since = now - jobs::kMostHeld - 1;
+}
+
+void Book::end_gathering(Millis now) {
+    for (Gathering& g : gathering_) {
+        if (now - g.since > jobs::kMostHeld) g.gang = kNone;
+    }
 }
 
 void Book::want_places(Job& j) {
--- a/src/book/book.h
+++ b/src/book/book.h
@@ -45,8 +45,12 @@
     const TeamUse& team_use(Index team) const { return team_use_[team]; }
     // The gang for which what comes free in the team's limit is gathered; null: none.
     const Job* gathers(Index team) const;
-    void gather(const Job& gang);
+    void gather(const Job& gang, Millis now);
     void gather_no_more(const Job& gang);
+    // A team gathers for so long in one go, whichever gangs it is for, and then pauses.
+    bool may_gather(Index team, Millis now) const;
+    void pause_gathering(const Job& gang, Millis now);
+    void end_gathering(Millis now);  // where that is over
 
     using Jobs = std::unordered_map<std::string, std::unique_ptr<Job>>;
     const Jobs& jobs() const { return jobs_; }
@@ -167,7 +171,7 @@
     void erase(Attempt& a);
     void stop_each(Job& j, double grace_s, Millis now);
     void break_gang(Job& j, Millis now);
-    void note_error(Job& j, Machine& m, Millis now);
+    void note_error(Job& j, const Attempt& a, Machine& m, Millis now);
     void add_team(const wire::Team& rule);
     static std::vector<Index> due(Agenda& agenda, Millis now);
 
@@ -181,7 +185,11 @@
     std::vector<wire::MachineType> types_;
     std::vector<wire::Team> team_rules_;
     std::vector<TeamUse> team_use_;
-    std::vector<Index> gathering_;                        // by team, the job; kNone: none
+    struct Gathering {
+        Index gang = kNone;
+        Millis since = -kNever;  // this spell's beginning
+    };
+    std::vector<Gathering> gathering_;                    // by team
     std::vector<std::unique_ptr<Guarantee>> guarantees_;  // by team
 
     Jobs jobs_;
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -177,6 +177,7 @@
     next_pass_ = now + kPassGap + static_cast<Millis>(book_.waiting().size() / 4);
     std::vector<Job*> unplaced;
     outlook_.clear_whole_waiting();
+    book_.end_gathering(now);
     const std::vector<Job*> order = order_.queue(now);
     order_.foresee(order, now);
     for (Job* j : order) {
@@ -194,7 +195,7 @@
         }
     }
     if (term_.confirmed(now) && !term_.holder()) {
-        lender_.set_starving(!unplaced.empty());
+        lender_.set_starving(!unplaced.empty(), now);
         lender_.check_leases(now);
         if (now >= next_supply_) {
             next_supply_ = now + kSupplyGap;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -29,6 +29,10 @@
 
 inline constexpr std::uint32_t kChunkTasks = 64;
 
+// A job that could start is held back for so long at the most by anything but machines and limits,
+// whatever is kept for other work or doubted of it (docs/design/waiting.md).
+inline constexpr Millis kMostHeld = 60'000;
+
 std::string job_key(const std::string& id);
 std::string open_key(const std::string& id);
 std::string run_key(const std::string& id, std::uint32_t chunk);
@@ -137,13 +141,13 @@
     std::uint32_t gang_attempt = 0;
     bool gang_broken = false;     // the running attempt must end before the next
     Millis fits_limit_since = 0;  // while it waits; 0: its team's limit leaves too little for it
-    Millis gather_at = 0;         // not before: what was gathered for it was given up
 
     // Trouble.
     std::vector<Index> failed_on;  // machines on which a task ended in error
     Millis hold_until = 0;         // backed off
     std::uint32_t back_offs = 0;
-    bool on_trial = false;  // at fault, as it seems: one task at a time until one runs
+    bool on_trial = false;      // at fault, as it seems: one task at a time until one runs
+    Millis withheld_since = 0;  // room that fits it is kept for other work; 0: none was last time
 
     bool within_guarantee = false;
     Urgency urgency;
@@ -152,8 +156,10 @@
     double share = 0;            // of a machine, that a task takes
     Kept<Index> lent_to{kNone};  // block whose holder has it
     std::uint64_t lent_done = 0, lent_running = 0;  // as the holder last said
+    Millis lent_named_at = 0;                       // the holder said that it has it
     Millis starved_since = 0;                       // first time no place was found
     std::vector<Index> reserved;                    // machines where room was made for it
+    Millis reserves_since = 0;                      // 0: none since it last got a place
     Millis make_room_at = 0;                        // not again before
     bool room_coming = false;                       // enough was found the last time
     bool avoids_dear = false;                       // leaves dear machines alone for now
@@ -161,6 +167,11 @@
     links::Links links;
     links::Event accepted_event = kNone, cancelled_event = kNone;
 
+    // Is room that is kept for other work to be kept from it still?
+    bool may_be_withheld(Millis now) const {
+        return withheld_since == 0 || now - withheld_since <= kMostHeld;
+    }
+
     bool gang() const { return spec.shape == wire::Shape::gang; }
     bool recorded_whole() const { return recording == 0; }  // only such gangs are started
     bool service() const { return spec.shape == wire::Shape::service; }
--- a/src/schedule/rules.cpp
+++ b/src/schedule/rules.cpp
@@ -11,7 +11,7 @@
 using workers::Machine;
 
 namespace {
-constexpr std::size_t kMostLooked = 300;  // machines of a kind, for one job in one pass
+constexpr std::size_t kMostFound = 300;  // machines of a kind, for one job in one pass
 }  // namespace
 
 bool Rules::allowed(const Job& j, const Machine& m) const {
@@ -79,17 +79,21 @@
 
 std::vector<Machine*> Rules::fitting(const Job& j, const Need& need, Millis now) const {
     std::vector<Machine*> out;
-    std::size_t looked = 0;
+    std::size_t found = 0;
     book_.openings().each(
         need,
         [&](const placing::Openings::Kind& kind) {
-            looked = 0;
-            return (j.spec.spot || !kind.spot) && (j.zone == kNone || j.zone == kind.zone);
+            found = 0;
+            return kind.type < j.allowed_type.size() && j.allowed_type[kind.type] != 0 &&
+                   (j.spec.spot || !kind.spot) && (j.zone == kNone || j.zone == kind.zone);
         },
         [&](Index i) {
             Machine* m = book_.machine_at(i);
-            if (may_get(j, *m, need, now)) out.push_back(m);
-            return ++looked < kMostLooked;
+            // Those that lack memory do not count: behind hundreds of them one with room once
+            // stayed unseen.
+            if (!may_get(j, *m, need, now)) return true;
+            out.push_back(m);
+            return ++found < kMostFound;
         });
     return out;
 }
--- a/src/schedule/rules.h
+++ b/src/schedule/rules.h
@@ -11,6 +11,30 @@
 // A task that is told to stop is gone within this, beyond the time to save.
 inline constexpr Millis kGoneWithin = 2'000;
 
+// Room that fits a job and is kept from it all the same: noted for as long as it lasts, and not
+// kept beyond kMostHeld.
+class Withheld {
+  public:
+    Withheld(const jobs::Job& j, Millis now) : may_(j.may_be_withheld(now)) {}
+
+    bool keeps(bool kept) {
+        any_ |= kept;
+        return kept && may_;
+    }
+    void placed() {  // that was its place of what is kept
+        may_ = true;
+        any_ = false;
+    }
+    void note(jobs::Job& j, Millis now) const {
+        if (!any_) j.withheld_since = 0;
+        if (any_ && j.withheld_since == 0) j.withheld_since = now;
+    }
+
+  private:
+    bool may_;
+    bool any_ = false;
+};
+
 class Rules {
   public:
     Rules(const book::Term& term, book::Book& book, const outlook::Outlook& outlook)
--- a/src/schedule/schedule.cpp
+++ b/src/schedule/schedule.cpp
@@ -22,7 +22,6 @@
 // than gangs gain (docs/rounds.md, round 49).
 constexpr Millis kBeginWithin = 240'000;
 constexpr Millis kGatherAfter = kBeginWithin * 5 / 8, kStopAfter = kBeginWithin * 3 / 4;
-constexpr Millis kGatherAgain = 30'000;
 constexpr Millis kStopEvery = 5'000;
 constexpr std::size_t kMostSearched = 300;  // machines, for work that may be stopped
 
@@ -80,9 +79,11 @@
         return Choice{c, m};
     };
     std::vector<Choice> heap;
+    // What is kept for other work is kept from it for so long; then it gets one place of that.
+    Withheld withheld(j, now);
     if (rules_.within_limit(j, 1)) {
         for (Machine* m : rules_.fitting(j, need, now)) {
-            if (now < m->closed_until || rules_.leaves_alone(j, *m)) continue;
+            if (withheld.keeps(now < m->closed_until || rules_.leaves_alone(j, *m))) continue;
             heap.push_back(rated(m));
         }
     }
@@ -92,10 +93,11 @@
         std::pop_heap(heap.begin(), heap.end());
         Machine* m = heap.back().machine;
         heap.pop_back();
-        if (m->blank && j.spec.spot && outlook_.keeps_blank(m->type, now)) continue;
-        if (m->places > 0 && rules_.kept_for_replicas(j, *m, kept)) continue;
+        if (withheld.keeps(now < m->closed_until || rules_.leaves_alone(j, *m))) continue;
         if (j.spec.one_zone && only_zone != kNone && m->zone != only_zone) continue;
         if (j.spec.spread && in_zone[m->zone] >= half) continue;
+        if (withheld.keeps(m->blank && j.spec.spot && outlook_.keeps_blank(m->type, now))) continue;
+        if (withheld.keeps(m->places > 0 && rules_.kept_for_replicas(j, *m, kept))) continue;
         std::uint32_t task, number;
         if (!j.waiting.empty()) {
             task = j.waiting.back().task;
@@ -105,6 +107,7 @@
             number = 1;
         }
         if (book_.place(j, task, number, *m, now) == nullptr) return false;
+        withheld.placed();
         if (!j.waiting.empty())
             j.waiting.pop_back();
         else
@@ -117,6 +120,7 @@
             std::push_heap(heap.begin(), heap.end());
         }
     }
+    withheld.note(j, now);
     return j.unstarted() == 0;
 }
 
@@ -190,7 +194,7 @@
 void Schedule::look_at_limit(Job& gang, Millis now) {
     if (!rules_.within_limit(gang, gang.spec.tasks)) {
         gang.fits_limit_since = 0;
-        if (now >= gang.gather_at) make_room_in_limit(gang, now);
+        if (book_.may_gather(gang.team, now)) make_room_in_limit(gang, now);
         return;
     }
     if (gang.fits_limit_since == 0) {
@@ -201,8 +205,7 @@
     }
     const Millis boot = book_.types().empty() ? 0 : seconds(book_.types().front().boot_s);
     if (now - gang.fits_limit_since <= boot + kReservation) return;
-    book_.gather_no_more(gang);
-    gang.gather_at = now + kGatherAgain;
+    book_.pause_gathering(gang, now);
 }
 
 // Its team's own work takes the limit. What comes free is kept for the gang, and after a while work
@@ -219,7 +222,7 @@
         return gpus <= free_gpus + placing::kSlack && cpus <= free_cpus + placing::kSlack;
     };
     if (gang.room_coming || enough(used.array_gpus, used.array_cpus))
-        book_.gather(gang);
+        book_.gather(gang, now);
     else
         book_.gather_no_more(gang);  // it would idle until those have ended
     if (now - gang.accepted_at < kStopAfter || now < gang.make_room_at) return;
@@ -244,7 +247,7 @@
     }
     gang.room_coming = enough(their_gpus, their_cpus);
     if (!gang.room_coming) return;
-    book_.gather(gang);
+    book_.gather(gang, now);
     std::sort(victims.begin(), victims.end(),
               [](const auto& a, const auto& b) { return a.first < b.first; });
     for (const auto& [lost, a] : victims) {
@@ -265,6 +268,13 @@
     if (now < j.make_room_at) return j.room_coming;
     j.make_room_at = now + kMakeRoomGap;
     j.room_coming = false;
+    if (j.reserves_since != 0 && now - j.reserves_since > jobs::kMostHeld) {
+        // It has room made and gets no place: others may have that for a while.
+        while (!j.reserved.empty()) book_.drop_reservation(*book_.machine_at(j.reserved.back()));
+        j.make_room_at = now + kReservation;
+        j.reserves_since = 0;
+        return false;
+    }
     Need need = placing::need_of(j);
     struct Room {
         double cpus, gpus, memory_gb;
@@ -282,12 +292,21 @@
         }
         return r;
     };
+    std::vector<std::uint32_t> in_zone(book_.zones().size());
+    if (j.spec.spread) in_zone = book_.live_by_zone(j);
+    const std::uint32_t half = (j.spec.tasks + 1) / 2;
+    // How many of so many places in a zone it may have beside those that it has there.
+    auto gets_there = [&](Index zone, std::uint32_t places) {
+        if (j.spec.spread) places = std::min(places, half - std::min(half, in_zone[zone]));
+        in_zone[zone] += places;
+        return places;
+    };
     std::uint32_t coming = 0;  // room that is being made already
     for (Index i : j.reserved) {
         Machine& m = *book_.machine_at(i);
         if (!m.open() || now >= m.reserved_until) continue;
         Room r = room_of(m);
-        coming += placing::how_many(r.cpus, r.gpus, r.memory_gb, need, tasks);
+        coming += gets_there(m.zone, placing::how_many(r.cpus, r.gpus, r.memory_gb, need, tasks));
     }
     if (coming >= tasks) return j.room_coming = true;
     struct Plan {
@@ -369,20 +388,22 @@
         if (zone == kNone) return false;
         std::erase_if(plans, [&](const Plan& p) { return p.machine->zone != zone; });
     }
-    std::uint32_t room = 0;
-    for (const Plan& p : plans) room += p.room;
-    if (j.gang() && room < left) return false;
-    std::vector<std::uint32_t> in_zone(book_.zones().size());
-    if (j.spec.spread) in_zone = book_.live_by_zone(j);
-    const std::uint32_t half = (j.spec.tasks + 1) / 2;
+    if (j.gang()) {
+        // All or none: half of one that is to be scattered once kept a zone for ever.
+        const auto before = in_zone;
+        std::uint32_t short_of = left;
+        for (const Plan& p : plans)
+            short_of -= gets_there(p.machine->zone, std::min(short_of, p.room));
+        if (short_of > 0) return false;
+        in_zone = before;
+    }
     for (const Plan& p : plans) {
         if (left == 0) break;
-        std::uint32_t gets = std::min(left, p.room);
-        if (j.spec.spread) gets = std::min(gets, half - std::min(half, in_zone[p.machine->zone]));
+        const std::uint32_t gets = gets_there(p.machine->zone, std::min(left, p.room));
         if (gets == 0) continue;
-        in_zone[p.machine->zone] += gets;
         left -= gets;
         book_.reserve(*p.machine, j, now + kReservation);
+        if (j.reserves_since == 0) j.reserves_since = now;
         for (Attempt* a : p.victims) {
             // Ending one member of a gang may have ended others of the list.
             auto& there = p.machine->attempts;
--- a/src/sharing/lender.cpp
+++ b/src/sharing/lender.cpp
@@ -17,6 +17,9 @@
 namespace {
 constexpr Millis kLease = 4'000;
 constexpr Millis kIdleLease = 8'000;
+// A block is taken back when its holder has not named a job that it was given for so long (no grant
+// comes to it), or when others found no place meanwhile. That is done within as long again.
+constexpr Millis kTakenWithin = jobs::kMostHeld / 2;
 constexpr Millis kShareEvery = 500;
 constexpr std::size_t kMostJobs = 40;  // lent with one block
 
@@ -156,6 +159,7 @@
         l.room = room;
         l.jobs.push_back(j.spec.id);
         book_.lend(j, block);
+        j.lent_named_at = now;
         spdlog::debug("job {} goes to {} with block {}", j.spec.id, l.holder, block);
         return true;
     }
@@ -234,6 +238,7 @@
         for (const peers::News::Job& n : news.jobs) {
             Job* j = book_.job(n.id);
             if (j == nullptr || j->lent_to != block) continue;
+            j->lent_named_at = now;
             j->lent_done = n.done;
             j->lent_running = n.running;
         }
@@ -256,8 +261,13 @@
                              (!peer->second.healthy || peer->second.incarnation != l.incarnation);
             // It has let the block go and does not take it up again, or has never heard of it.
             const bool silent = now - l.said_at > kIdleLease;
-            if (lost || idle || unhealthy || silent || term_.options().lent_machines == 0 ||
-                (starving_ && l.jobs.empty())) {
+            const bool dropped = std::any_of(l.jobs.begin(), l.jobs.end(), [&](const auto& id) {
+                const Job* j = book_.job(id);
+                return j != nullptr && now - j->lent_named_at > kTakenWithin;
+            });
+            if (lost || idle || unhealthy || silent || dropped ||
+                term_.options().lent_machines == 0 ||
+                (starving_ && (l.jobs.empty() || now - starving_since_ > kTakenWithin))) {
                 set_lease_state(block, l, LeaseState::ending);
             }
         }
--- a/src/sharing/lender.h
+++ b/src/sharing/lender.h
@@ -65,7 +65,10 @@
     // Ends leases that are idle, wanted elsewhere or no longer renewed, and takes their blocks
     // back.
     void check_leases(Millis now);
-    void set_starving(bool starving) { starving_ = starving; }
+    void set_starving(bool starving, Millis now) {
+        if (starving && !starving_) starving_since_ = now;
+        starving_ = starving;
+    }
 
     // The grants to send now; each renews a lease.
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
@@ -100,6 +103,7 @@
     std::map<std::string, Peer> peers_;
     std::map<std::uint32_t, Lease> leases_;  // by block
     bool starving_ = false;                  // jobs found no place when last looked
+    Millis starving_since_ = 0;
     Millis next_share_ = 0;
 };
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -122,6 +122,7 @@
         for (auto& [name, g] : leader()->grants(now_ - 200, now_)) {
             std::size_t i = name == holder_settings_[0].name ? 0 : 1;
             if (chance(trouble_.lost_back) || deputy_cut(i) || trouble_.one_way) continue;
+            if (trouble_.lost_grant > 0 && chance(trouble_.lost_grant)) continue;
             Millis late = chance(trouble_.lost_back) ? delay(6000) : delay(20);
             at(now_ + late, [this, i, grant = g] {
                 auto& h = *nodes_[i]->holding;
@@ -1168,6 +1169,7 @@
             EXPECT_EQ(cancelled_.count(c.job), 0u)
                 << "a start after the confirmed end of " << c.job;
             ASSERT_TRUE(specs_.count(c.job));
+            waits_since_.erase(c.job);
             const wire::JobSpec& spec = specs_[c.job];
             Task t;
             t.attempt = c.attempt;
@@ -1260,6 +1262,7 @@
             t.phase = spec.shape == wire::Shape::gang ? "gathering" : "running";
             t.waits_until = now_ + seconds(settings_.gang_wait_s);
             t.done_at = now_ + 3000 + delay(9000);
+            if (auto l = lengths_.find(id.first); l != lengths_.end()) t.done_at = now_ + l->second;
             check_start(m, id);
             if (m.sick || spoilt_.count(id.first) != 0) {
                 t.phase = "exited";
@@ -1337,6 +1340,70 @@
     }
 }
 
+bool World::would_fit(const std::string& id, const wire::JobSpec& spec) const {
+    std::set<std::uint32_t> there;
+    std::map<std::string, std::uint32_t> in_zone, room;
+    double limit = 0, used = 0;
+    for (const auto& rule : settings_.teams) limit += rule.name == spec.team ? rule.gpus_max : 0;
+    for (const auto& [name, m] : machines_) {
+        for (const auto& [task, t] : m->tasks) {
+            if (t.phase == "exited") continue;
+            if (specs_.at(task.first).team == spec.team) used += specs_.at(task.first).gpus;
+            if (task.first != id) continue;
+            there.insert(task.second);
+            ++in_zone[m->zone];
+        }
+    }
+    const bool gang = spec.shape == wire::Shape::gang;
+    std::uint32_t wanted = 0;
+    for (std::uint32_t t = 0; t < spec.tasks; ++t)
+        wanted += there.count(t) == 0 && done_.count({id, t}) == 0 ? 1 : 0;
+    if (gang && wanted < spec.tasks) return false;
+    const std::uint32_t least = gang ? spec.tasks : 1;
+    if (wanted == 0 || (limit > 0 && used + least * spec.gpus > limit + 1e-6)) return false;
+    for (const auto& [name, m] : machines_) {
+        const bool sound = m->up && !m->dead && !m->removed && !m->sick && cut_of(*m) == nullptr &&
+                           now_ >= m->deaf_until && now_ >= m->mute_until;
+        const bool type_ok =
+            spec.any_type || std::count(spec.types.begin(), spec.types.end(), m->type);
+        if (!sound || !type_ok || (spec.zone && *spec.zone != m->zone) || (m->spot && !spec.spot))
+            continue;
+        const auto type = std::find_if(types_.begin(), types_.end(),
+                                       [&](const auto& known) { return known.name == m->type; });
+        double cpus = type->cpus, gpus = type->gpus, memory = type->memory_gb;
+        for (const auto& [task, t] : m->tasks) {
+            if (t.phase == "exited") continue;
+            const wire::JobSpec& other = specs_.at(task.first);
+            cpus -= other.cpus, gpus -= other.gpus, memory -= other.memory_gb;
+        }
+        room[m->zone] +=
+            placing::how_many(cpus, gpus, memory, {spec.cpus, spec.gpus, spec.memory_gb}, least);
+    }
+    std::uint32_t all = 0, most = 0;
+    for (auto& [zone, n] : room) {
+        const bool other_zone = spec.one_zone && !in_zone.empty() && in_zone.count(zone) == 0;
+        const std::uint32_t half = (spec.tasks + 1) / 2;
+        if (spec.spread) n = std::min(n, half - std::min(half, in_zone[zone]));
+        if (other_zone) continue;
+        all += n;
+        most = std::max(most, n);
+    }
+    return (gang && spec.one_zone ? most : all) >= least;
+}
+
+void World::check_waits() {
+    for (const auto& [id, spec] : specs_) {
+        if (!final_state(id).empty() || unwanted_.count(id) != 0 || !would_fit(id, spec)) {
+            waits_since_.erase(id);
+            continue;
+        }
+        const Millis wait = now_ - waits_since_.try_emplace(id, now_).first->second;
+        met_.longest_wait = std::max(met_.longest_wait, wait);
+        EXPECT_LE(wait, longest_wait_)
+            << id << " waits though it fits; " << what_runs() << book_says();
+    }
+}
+
 // Of the jobs that the leader has.
 std::string World::book_says() {
     if (leader() == nullptr) return "nobody leads";
@@ -1381,6 +1448,7 @@
         if (now_ >= next_check) {
             next_check = now_ + 500;
             check_all();
+            if (longest_wait_ != kNever) check_waits();
             if (chance(trouble_.takeover * 0.5)) take_over();
             if (chance(trouble_.machine_dies * 0.5)) {
                 if (std::string name = any_machine(); !name.empty()) kill_machine(name);
--- a/tests/world.h
+++ b/tests/world.h
@@ -51,6 +51,7 @@
     double for_next = 0;       // a report's copy is kept for the next leader
     double held_checkin = 0;   // a report arrives only when the next leader has acted
     bool one_way = false;      // holders are heard, and hear nothing
+    double lost_grant = 0;     // a grant to a holder is lost
 };
 
 // A part of a zone's machines that nobody outside the zone reaches for a while.
@@ -83,6 +84,8 @@
     void cancel(const std::string& id);
     // It was submitted with a mistake: all its tasks fail.
     void spoil(const std::string& id) { spoilt_.insert(id); }
+    // Its tasks run for so long.
+    void lengthen(const std::string& id, Millis length) { lengths_[id] = length; }
     void calm() { trouble_ = {}; }
     void begin(Trouble trouble) { trouble_ = trouble; }
     std::size_t returned(const std::string& zone = "") const;  // machines, to the cloud
@@ -118,6 +121,7 @@
         std::size_t kept = 0, kept_of_gone = 0, kept_of_lives = 0;
         std::size_t heard_held = 0;         // that had been held back
         std::size_t wishes_while_read = 0;  // changes after its first read, before its book
+        Millis longest_wait = 0;            // of those that expect_no_wait() speaks of
     };
     const Met& met() const { return met_; }
     // Called when a transaction of that kind has been applied and its answer lost.
@@ -179,6 +183,14 @@
     double uses(const std::string& team) const;  // gpus, by what has a place on its machines
     std::size_t on_machines(const std::string& id) const;  // tasks of the job, likewise
     std::string what_runs() const;
+    // From here on no job waits for longer than that while all that holds it back is the leader: a
+    // task of it, or the whole gang, would fit a machine that is up, sound and reachable, and its
+    // team's limit. Of a job that is given places, one at a time, each begins the wait anew.
+    void expect_no_wait(Millis longer) { longest_wait_ = longer; }
+    void repair() {  // the sick machines
+        for (auto& [name, m] : machines_) m->sick = false;
+    }
+    Millis longest_wait() const { return met_.longest_wait; }
     std::string book_says();
 
   private:
@@ -309,6 +321,8 @@
     void comes_up(const std::string& name);
     void check_start(const Machine& m, const TaskId& id);
     void check_all();
+    bool would_fit(const std::string& id, const wire::JobSpec& spec) const;
+    void check_waits();
     // Is the machine out of reach, and of whom? Its zone's deputy is with it.
     const Cut* cut_of(const Machine& m) const;
     bool reaches(const Machine& m, std::size_t node) const;
@@ -339,6 +353,7 @@
     std::uint64_t term_ = 0;
     std::map<std::string, wire::JobSpec> specs_;
     std::set<std::string> spoilt_;
+    std::map<std::string, Millis> lengths_;
     std::set<std::string> unwanted_;           // their users asked to cancel them
     std::map<std::string, Millis> cancelled_;  // and were told when
     std::set<TaskId> done_;
@@ -367,6 +382,8 @@
     std::map<TaskId, Millis> done_at_;
     std::map<std::string, Millis> final_at_;
     Millis watch_from_ = 0, listed_at_ = 0;
+    Millis longest_wait_ = kNever;
+    std::map<std::string, Millis> waits_since_;
 
   public:
     std::size_t answered_by_deputies() const { return answered_by_deputies_; }
