What ran on a machine that went under an earlier leader waits no three leases

The record of a job that could not be placed again since still names its last machine. The next leader took it for one that may run until every lease that its predecessors can have given was over. A machine that a record names was rented before the record was read, so a list that was asked for three lags later and lacks it shows that it is gone; the same argument as for silent ones.

--- a/src/domains/silence.cpp
+++ b/src/domains/silence.cpp
@@ -121,6 +121,15 @@
     for (Index i : book_.coming()) {
         if (book_.silent().count(i) == 0) look_for(i);
     }
+    // One that only a job's record names was there before it was read, if it is there at all. It
+    // went under an earlier leader, and its tasks would wait for three leases.
+    for (Index i : book_.coming()) {
+        Machine* m = book_.machine_at(i);
+        if (m->state == workers::MachineState::booting && !m->attempts.empty() &&
+            m->hired_at + behind < asked && listed.count(m->name) == 0) {
+            missing.push_back(m);
+        }
+    }
     for (Machine* m : missing) {
         spdlog::info("machine {} is not in the cloud's list any more", m->name);
         book_.machine_gone(*m, now);
--- a/tests/waiting_test.cpp
+++ b/tests/waiting_test.cpp
@@ -197,6 +197,30 @@
     EXPECT_GT(lost, 6u);
 }
 
+// The only record of a task names a machine that went under the leader before this one.
+TEST(Waiting, WhatRanOnAMachineThatIsLongGoneIsStartedSoon) {
+    for (std::uint64_t seed = 1; seed <= 6 && !HasFailure(); ++seed) {
+        SCOPED_TRACE(seed);
+        World world(seed, {});
+        wire::Json one = job("job-0", "sweep", 1, 1), stays = job("job-1", "standing", 1, 1);
+        one["yard"] = stays["yard"] = "b";
+        world.lengthen("job-0", 40'000);
+        world.submit(one);
+        world.run_until(25'000);
+        ASSERT_EQ(world.running("b"), 1u);
+        world.begin(full());
+        world.take_away("b");
+        world.run_until(70'000);
+        world.take_over();
+        ASSERT_EQ(world.leader()->open_jobs().at("job-0")->live, 1u);  // as the record has it
+        world.calm();
+        world.submit(stays);
+        world.expect_no_wait(35'000);
+        world.run_until(180'000);
+        EXPECT_EQ(world.final_state("job-0"), "done") << world.book_says();
+    }
+}
+
 // Half of a scattered gang fits, the other half nowhere: nothing is stopped or kept for it.
 TEST(Waiting, NoRoomIsKeptForHalfAGang) {
     for (std::uint64_t seed = 1; seed <= 4 && !HasFailure(); ++seed) {
