--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -1363,7 +1363,8 @@
     if (wanted == 0 || (limit > 0 && used + least * spec.gpus > limit + 1e-6)) return false;
     for (const auto& [name, m] : machines_) {
         const bool sound = m->up && !m->dead && !m->removed && !m->sick && cut_of(*m) == nullptr &&
-                           now_ >= m->deaf_until && now_ >= m->mute_until;
+                           now_ >= m->deaf_until && now_ >= m->mute_until &&
+                           now_ >= m->unheard_until;
         const bool type_ok =
             spec.any_type || std::count(spec.types.begin(), spec.types.end(), m->type);
         if (!sound || !type_ok || (spec.zone && *spec.zone != m->zone) || (m->spot && !spec.spot))
