--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -56,7 +56,7 @@
       state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings, false)),
       cloud_(loop, *net::parse_address(settings.cloud), settings.cloud, settings.cloud_rps),
       answers_(loop, state_, settings),
-      desk_(settings, state_, answers_,
+      desk_(settings, answers_.records(), answers_.answers(),
             {[this] { return wall_ms(); }, [this] { return now(); },
              [this](const char* request, int status, Millis took) {
                  metrics_.answered(request, status, static_cast<double>(took));
@@ -122,7 +122,7 @@
             {[this](const peers::Status& s) { heard(s); },
              [this](const peers::Grant& g) { granted(g); },
              [this](const peers::News& n) {
-                 if (book_ == Book::running) dispatcher_->on_news(n);
+                 if (book_ == Book::running) dispatcher_->on_news(n, now());
              },
              [this](const peers::Leave& l) {
                  leader_heard_at_ = now();
@@ -394,11 +394,7 @@
             state_.list("open/", state::Urgency::control, [this, g, began](state::ListReply all) {
                 if (g != generation_ || book_ != Book::running) return;
                 if (all.outcome == state::Outcome::ok) {
-                    for (const auto& i : all.items) {
-                        if (auto rec = jobs::read_open(i.value)) {
-                            dispatcher_->on_open_record(*rec, i.version, wall_ms(), now());
-                        }
-                    }
+                    dispatcher_->on_open_list(all, wall_ms(), now());
                     open_revision_ = all.revision;
                     saw_cancellations(began);
                 }
@@ -414,7 +410,7 @@
         open_revision_ = std::max(open_revision_, r.revision);
         for (const auto& i : r.items) {
             if (i.deleted) {
-                dispatcher_->on_open_dropped(jobs::id_of_open_key(i.key));
+                dispatcher_->on_open_dropped(jobs::id_of_open_key(i.key), now());
                 continue;
             }
             if (auto rec = jobs::read_open(i.value)) {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -77,7 +77,12 @@
                         Millis now) {
         intake_.on_open_record(record, version, wall_ms, now);
     }
-    void on_open_dropped(const std::string& id) { lender_.on_open_dropped(id); }
+    // All of them, where the watch has missed changes.
+    void on_open_list(const state::ListReply& all, std::int64_t wall_ms, Millis now);
+    void on_open_dropped(const std::string& id, Millis now) {
+        lender_.on_open_dropped(id);
+        intake_.on_open_dropped(id, now);
+    }
     // Beyond that nothing new is started.
     void confirm_until(Millis until) { term_.confirm_until(until); }
     void set_fence(duties::Duty d, std::uint64_t fence) { term_.set_fence(d, fence); }
@@ -93,7 +98,7 @@
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now) {
         return lender_.grants(view_fresh, now);
     }
-    void on_news(const peers::News& news) { lender_.on_news(news); }
+    void on_news(const peers::News& news, Millis now) { lender_.on_news(news, now); }
     // The leaves to send now, to those that may answer machines when the leader is out of reach.
     std::vector<std::pair<std::string, peers::Leave>> leaves(Millis view_fresh, Millis now);
     Millis answer_for() const { return deputies_.answer_for(); }
@@ -168,6 +173,7 @@
     // `session`: of what was known before.
     void absorb(Machine& m, const wire::Report& r, std::uint64_t session, bool anew, Millis now);
     void reached(Machine& m, Millis now);
+    workers::Hearing hearing(const Machine& m, Millis now) const;
     void ask(Machine& m, Millis now);
     CheckinAnswer contradicts(Machine& m, workers::Proof proof, Millis now);
     Millis silent_after() const;
--- a/src/dispatch/watch.cpp
+++ b/src/dispatch/watch.cpp
@@ -44,14 +44,17 @@
     }
     // Counted before any is given up: that many fall silent together must be seen before the first
     // is returned.
-    if (m.up) book_.set_hearing(m, m.contact.hearing(probe_after, now));
+    if (m.up) book_.set_hearing(m, hearing(m, now));
     if (silent > probe_after && !m.direct_in_flight && now >= m.retry_direct_at &&
         m.state != MachineState::gone) {
         m.wants_confirm = true;
         m.retry_direct_at = now;
         courier_.poke(m);
     }
-    if (silent > lost_after && m.direct_failures > 1) silence_.give_up(m, now);
+    // One that is mute answers, and is given up while it can still save.
+    const bool stays = m.usable() || m.state == MachineState::joining;
+    const bool mute = m.hearing == workers::Hearing::mute && stays;
+    if (mute || (silent > lost_after && m.direct_failures > 1)) silence_.give_up(m, now);
     if (silent > seconds(term_.settings().lease_s) && deputies_.over(m.lease_until, now)) {
         // Whatever it had, it has killed by itself.
         while (!m.attempts.empty()) book_.proven_gone(*m.attempts.back(), now);
@@ -71,10 +74,10 @@
         m.late = true;
         book_.touch();  // no longer counted on
     }
-    if (!m.attempts.empty() && now > m.lease_until) {
-        // Known from a record only, and its lease is long over.
-        book_.give_back(m, "known from records only");
-    }
+    // Work is placed on machines of blocks, and a block loses one only when it is gone: what is in
+    // none went as the last leader ended. The cloud's answer proves it long before its lease does.
+    if (!m.attempts.empty() && now - m.contact.reached_at() > silent_after() + kProbing)
+        book_.give_back(m, "is known from records only");
 }
 
 void Dispatcher::watch_idle(Machine& m, Millis now) {
--- a/src/domains/silence.cpp
+++ b/src/domains/silence.cpp
@@ -55,7 +55,11 @@
     s.lease_until = likely_end(m);
     if (domains_.shut(m.zone)) s.replicas = all_replicas_movable(m);
     const Millis boot = m.type == kNone ? 0 : seconds(book_.types()[m.type].boot_s);
-    if (domains_.give_up(m.zone, s, boot, now)) book_.give_back(m, "is silent");
+    if (!domains_.give_up(m.zone, s, boot, now)) return;
+    if (m.hearing == workers::Hearing::mute && !term_.holder())
+        book_.drain(m, "reaches no controller", now);
+    else
+        book_.give_back(m, "is silent");
 }
 
 Millis Silence::heard_by(Index zone, Millis otherwise) const {
@@ -63,15 +67,15 @@
     return lost == lost_since_.end() ? otherwise : std::min(otherwise, lost->second);
 }
 
-// About when its tasks end by themselves: a lease after its last report, or later where a deputy
-// may be answering it.
+// About when its tasks end by themselves: a lease after its last answered report, or later where a
+// deputy may be answering it.
 Millis Silence::likely_end(const Machine& m) const {
     const bool deputy =
         m.zone != kNone &&
         std::any_of(term_.settings().peers.begin(), term_.settings().peers.end(),
                     [&](const auto& p) { return p.zone == book_.zones().name(m.zone); });
     return deputy ? deputies_.until(m.lease_until)
-                  : m.contact.reached_at() + seconds(term_.settings().lease_s);
+                  : m.contact.renewed_at() + seconds(term_.settings().lease_s);
 }
 
 // Replicas are on it, and each of them could be started in another zone. One that could not would
@@ -101,16 +105,30 @@
 // A machine stays listed until it is gone. One that was listed so long ago that this list is
 // certainly of a later moment, and is not in it, has been taken.
 void Silence::miss_from_list(const std::vector<wire::Host>& hosts, Millis asked, Millis now) {
-    if (book_.silent().empty()) return;
+    if (book_.silent().empty() && book_.coming().empty()) return;
     std::unordered_set<std::string_view> listed;
     for (const wire::Host& h : hosts) listed.insert(h.id);
     const Millis behind = longer(seconds(kListLags * term_.settings().list_lag_s)) + kListSlack;
     std::vector<Machine*> missing;
-    for (Index i : book_.silent()) {
+    auto look_for = [&](Index i) {
         Machine* m = book_.machine_at(i);
         if (m->listed_at != 0 && m->listed_at + behind < asked && listed.count(m->name) == 0) {
             missing.push_back(m);
         }
+    };
+    std::for_each(book_.silent().begin(), book_.silent().end(), look_for);
+    // A new leader's first list may show what its predecessor returned: no work is to wait for it.
+    for (Index i : book_.coming()) {
+        if (book_.silent().count(i) == 0) look_for(i);
+    }
+    // One that only a job's record names was there before it was read, if it is there at all. It
+    // went under an earlier leader, and its tasks would wait for three leases.
+    for (Index i : book_.coming()) {
+        Machine* m = book_.machine_at(i);
+        if (m->state == workers::MachineState::booting && !m->attempts.empty() &&
+            m->hired_at + behind < asked && listed.count(m->name) == 0) {
+            missing.push_back(m);
+        }
     }
     for (Machine* m : missing) {
         spdlog::info("machine {} is not in the cloud's list any more", m->name);
--- a/src/sharing/lender.h
+++ b/src/sharing/lender.h
@@ -40,6 +40,7 @@
         LeaseState state = LeaseState::wanted;
         Millis over_at = 0;  // by then the holder has stopped, by its own clock
         Millis idle_since = 0;
+        Millis said_at = 0;  // the holder last said that it has the block
         std::vector<Room> room;
         std::vector<std::string> jobs;
     };
@@ -64,11 +65,14 @@
     // Ends leases that are idle, wanted elsewhere or no longer renewed, and takes their blocks
     // back.
     void check_leases(Millis now);
-    void set_starving(bool starving) { starving_ = starving; }
+    void set_starving(bool starving, Millis now) {
+        if (starving && !starving_) starving_since_ = now;
+        starving_ = starving;
+    }
 
     // The grants to send now; each renews a lease.
     std::vector<std::pair<std::string, peers::Grant>> grants(Millis view_fresh, Millis now);
-    void on_news(const peers::News& news);
+    void on_news(const peers::News& news, Millis now);
     // An open record has gone: whoever held the job has finished it.
     void on_open_dropped(const std::string& id);
     void block_recorded(std::uint32_t block, Millis now);
@@ -99,6 +103,7 @@
     std::map<std::string, Peer> peers_;
     std::map<std::uint32_t, Lease> leases_;  // by block
     bool starving_ = false;                  // jobs found no place when last looked
+    Millis starving_since_ = 0;
     Millis next_share_ = 0;
 };
 
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -1,5 +1,7 @@
 #include "wire/cbor.h"
 
+#include <algorithm>
+
 namespace nickelramp::wire {
 
 namespace {
@@ -48,6 +50,21 @@
     return std::nullopt;
 }
 
+bool plain(const Json& v) {
+    if (v.is_structured()) return std::all_of(v.begin(), v.end(), plain);
+    const bool wrapped =
+        v.is_number_integer() && !v.is_number_unsigned() && v.get<std::int64_t>() >= 0;
+    return !v.is_binary() && !wrapped;
+}
+
+std::optional<std::size_t> json_size(const Json& value) {
+    try {
+        return value.dump().size();
+    } catch (const Json::type_error&) {
+        return std::nullopt;
+    }
+}
+
 const Json* field(const Json& map, const char* name) {
     if (!map.is_object()) return nullptr;
     auto it = map.find(name);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -105,14 +105,14 @@
         at(now_ + delay(20), [this, s, news] {
             if (leader() == nullptr) return;
             leader()->peer_heard(s, now_);
-            if (news) leader()->on_news(*news);
+            if (news) leader()->on_news(*news, now_);
         });
     }
     at(now_ + 50, [this] {
         if (leader() == nullptr) return;
         for (auto& [name, l] : leader()->leaves(now_ - 200, now_)) {
             std::size_t i = name == holder_settings_[0].name ? 0 : 1;
-            if (chance(trouble_.lost_back) || deputy_cut(i)) continue;
+            if (chance(trouble_.lost_back) || deputy_cut(i) || trouble_.one_way) continue;
             at(now_ + delay(20), [this, i, leave = l] {
                 Node& n = *nodes_[i];
                 n.leader_at = now_;
@@ -121,7 +121,8 @@
         }
         for (auto& [name, g] : leader()->grants(now_ - 200, now_)) {
             std::size_t i = name == holder_settings_[0].name ? 0 : 1;
-            if (chance(trouble_.lost_back) || deputy_cut(i)) continue;
+            if (chance(trouble_.lost_back) || deputy_cut(i) || trouble_.one_way) continue;
+            if (trouble_.lost_grant > 0 && chance(trouble_.lost_grant)) continue;
             Millis late = chance(trouble_.lost_back) ? delay(6000) : delay(20);
             at(now_ + late, [this, i, grant = g] {
                 auto& h = *nodes_[i]->holding;
@@ -167,15 +168,46 @@
     load(index);
 }
 
-// The new leader reads the records.
+// The new leader reads the records: users' wishes, blocks, intents and checkpoints, one list after
+// the other and in pages, as the program does. Where lists are not slow it takes no time.
 void World::load(std::size_t index) {
     Node& n = *nodes_[index];
     if (!n.leads) return;
-    if (!served(n)) {
+    if (!served(n) || now_ < n.frozen_until) {
         at(now_ + 500, [this, index] { load(index); });
         return;
     }
-    n.view = now_;
+    auto got = std::make_shared<Reading>();
+    got->began = now_;
+    got->revision = revision_;
+    read_on(index, std::move(got));
+}
+
+void World::read_on(std::size_t index, std::shared_ptr<Reading> got) {
+    static const char* prefixes[] = {"open/", "run/", "block/", duties::kIntentPrefix};
+    constexpr std::size_t kPage = 4;
+    Node& n = *nodes_[index];
+    if (!n.leads) return;
+    if (!served(n) || now_ < n.frozen_until) return load(index);  // from the beginning
+    for (; got->prefix < std::size(prefixes); ++got->prefix, got->after.clear()) {
+        const std::string prefix = prefixes[got->prefix];
+        auto it = keys_.upper_bound(std::max(prefix, got->after));
+        for (std::size_t i = 0; it != keys_.end() && it->first.rfind(prefix, 0) == 0; ++it, ++i) {
+            if (trouble_.slow_lists > 0 && i == kPage) break;
+            got->records[it->first] = it->second;
+            got->after = it->first;
+        }
+        if (trouble_.slow_lists == 0) continue;
+        if (it == keys_.end() || it->first.rfind(prefix, 0) != 0) ++got->prefix, got->after.clear();
+        at(now_ + delay(trouble_.slow_lists), [this, index, got] { read_on(index, got); });
+        return;
+    }
+    begin_book(index, *got);
+}
+
+void World::begin_book(std::size_t index, const Reading& got) {
+    Node& n = *nodes_[index];
+    n.view = got.began;
     book::Outbox& outbox = n;
     n.book = std::make_unique<dispatch::Dispatcher>(
         settings_, dispatch::TermInfo{n.term, "lead/term", keys_["lead/term"].version}, outbox,
@@ -188,7 +220,7 @@
     }
     options_.lent_machines = share_;
     n.book->set_options(options_);
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         std::uint32_t b = 0;
         if (!blocks::parse_block_key(key, b)) continue;
         auto block = blocks::read_block(stored.value);
@@ -196,16 +228,16 @@
         block->version = stored.version;
         n.book->load_block(b, *block);
     }
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         if (key.rfind(duties::kIntentPrefix, 0) == 0)
             n.book->load_intents(key, stored.value, stored.version);
     }
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         if (!jobs::id_of_open_key(key).empty()) {
             n.book->load_job(*jobs::read_open(stored.value), stored.version, now_, now_);
         }
     }
-    for (auto& [key, stored] : keys_) {
+    for (const auto& [key, stored] : got.records) {
         std::string id;
         std::uint32_t chunk = 0;
         if (jobs::parse_run_key(key, id, chunk)) {
@@ -213,9 +245,55 @@
         }
     }
     n.book->start(now_);
+    // The watch goes on from the first page.
+    for (const auto& [key, stored] : keys_) {
+        if (jobs::id_of_open_key(key).empty() || stored.version <= got.revision) continue;
+        ++met_.wishes_while_read;
+        tell_leader(key);
+    }
+    replay_kept();
     at(now_ + 100, [this, index] { tick_node(index); });
 }
 
+bool World::reading() {
+    Node* n = leading();
+    return n != nullptr && !n->book && n->refused_until != kNever;
+}
+
+Millis World::watched() {
+    const Millis t = now_ + delay(20 + trouble_.slow_watch);
+    return trouble_.slow_watch == 0 ? t : watched_at_ = std::max(watched_at_, t);
+}
+
+// A copy, or the report itself where it was on its way to one node.
+void World::keep_for_next(const wire::Report& r, std::size_t node, bool follows) {
+    if (kept_.size() < 400) kept_.push_back({r, node, follows, machines_[r.machine]->life});
+}
+
+// Copies reach every controller in the moment in which one begins, and again when it has acted;
+// what was held on its way arrives then.
+void World::replay_kept() {
+    for (Kept& k : std::exchange(kept_, {})) {
+        const Machine& m = *machines_[k.report.machine];
+        ++met_.kept;
+        met_.kept_of_gone += m.removed || m.dead ? 1 : 0;
+        met_.kept_of_lives += m.life != k.life || m.session > k.report.session ? 1 : 0;
+        auto everywhere = [this, k] {
+            for (std::size_t i = 0; i < nodes_.size(); ++i)
+                if (k.node == SIZE_MAX || k.node == i) hear(i, k.report, k.follows && k.node == i);
+        };
+        if (k.node == SIZE_MAX) {
+            everywhere();
+            at(now_ + delay(3'000), everywhere);
+        } else {
+            ++met_.heard_held;
+        }
+        at(now_ + delay(40'000), everywhere);
+        // And at whoever leads by then.
+        at(now_ + delay(40'000), [this, k] { hear(nodes_.size() - 1, k.report, false); });
+    }
+}
+
 // --- seats
 
 void World::hold_seats() {
@@ -270,6 +348,18 @@
     });
 }
 
+void World::lose_watch(Millis length) {
+    watch_lost_until_ = now_ + length;
+    at(watch_lost_until_, [this] {
+        if (leader() == nullptr) return;
+        state::ListReply all;
+        for (const auto& [key, stored] : keys_)
+            if (!jobs::id_of_open_key(key).empty())
+                all.items.push_back({key, stored.value, stored.version, false});
+        leader()->on_open_list(all, now_, now_);
+    });
+}
+
 void World::count_unrecorded() {
     for (const TaskId& id : done_) {
         if (!final_state(id.first).empty()) continue;
@@ -293,6 +383,40 @@
     return out;
 }
 
+Millis World::completed_at(const std::string& id) const {
+    Millis last = 0;
+    for (std::uint32_t t = 0; t < specs_.at(id).tasks; ++t) {
+        auto it = done_at_.find({id, t});
+        if (it == done_at_.end()) return 0;
+        last = std::max(last, it->second);
+    }
+    return last;
+}
+
+Millis World::final_at(const std::string& id) const {
+    auto it = final_at_.find(id);
+    return it == final_at_.end() ? 0 : it->second;
+}
+
+std::size_t World::records(const std::string& prefix) const {
+    return static_cast<std::size_t>(std::count_if(
+        keys_.begin(), keys_.end(), [&](const auto& k) { return k.first.rfind(prefix, 0) == 0; }));
+}
+
+void World::list_open(Millis after) {
+    listed_at_ = now_;
+    watch_from_ = std::max(watch_from_, now_ + after);  // it goes on from the list
+    state::ListReply all;
+    all.outcome = state::Outcome::ok;
+    for (const auto& [key, stored] : keys_) {
+        if (!jobs::id_of_open_key(key).empty())
+            all.items.push_back({key, stored.value, stored.version, false});
+    }
+    at(now_ + after, [this, all, term = term_] {
+        if (leader() != nullptr && term == term_) leader()->on_open_list(all, now_, now_);
+    });
+}
+
 void World::crash_leader() {
     count_unrecorded();
     if (Node* n = leading()) {
@@ -322,6 +446,7 @@
     if (now_ % 4000 < 100 || !n.listed) {
         n.listed = true;
         n.book->on_hosts(list(), now_, now_);
+        count_list();
     }
     at(now_ + 100, [this, i] { tick_node(i); });
 }
@@ -334,11 +459,26 @@
     for (const auto& [name, m] : machines_) {
         if (m->hired_at > then || m->removed_at <= then) continue;
         hosts.push_back({name, name, m->type, m->zone, m->spot,
-                         m->up ? wire::HostStatus::running : wire::HostStatus::booting, 1});
+                         m->failed          ? wire::HostStatus::failed
+                         : m->up_at <= then ? wire::HostStatus::running
+                                            : wire::HostStatus::booting,
+                         1});
     }
     return hosts;
 }
 
+void World::count_list() {
+    std::map<std::string, wire::HostStatus> listed;
+    for (const wire::Host& h : list()) listed[h.id] = h.status;
+    for (const auto& [name, m] : machines_) {
+        auto it = listed.find(name);
+        if (m->removed) met_.ghosts += it != listed.end() ? 1 : 0;
+        if (m->removed || m->tasks.empty()) continue;
+        met_.unlisted += it == listed.end() ? 1 : 0;
+        met_.booting += it != listed.end() && it->second == wire::HostStatus::booting ? 1 : 0;
+    }
+}
+
 void World::set_options(const admin::Options& options) {
     options_ = options;
     options_.lent_machines = share_;
@@ -384,23 +524,38 @@
 }
 
 void World::tell_leader(const std::string& key, Millis after) {
-    at(now_ + after + delay(20), [this, key] {
+    at(after + watched(), [this, key] {
         auto it = keys_.find(key);
-        if (leader() == nullptr || it == keys_.end()) return;
+        if (leader() == nullptr || it == keys_.end() || now_ < watch_lost_until_) return;
         // The watch is answered when it can be.
         const Node& n = *leading();
-        if (!served(n) || now_ < n.frozen_until) return tell_leader(key, 500);
+        if (!served(n) || now_ < n.frozen_until || now_ < watch_from_) return tell_leader(key, 500);
         leader()->on_open_record(*jobs::read_open(it->second.value), it->second.version, now_,
                                  now_);
         leader()->tick(now_);
     });
 }
 
+bool World::takes(std::size_t changes) {
+    const double rate = trouble_.changes_per_s, some = static_cast<double>(changes);
+    if (rate > 0) {
+        const double since = static_cast<double>(now_ - budget_at_) / 1'000;
+        budget_ = std::min(rate, budget_ + rate * since);
+        budget_at_ = now_;
+        if (budget_ < some) return false;
+        budget_ -= some;
+    }
+    changes_ += changes;
+    return true;
+}
+
 void World::submit(const Json& spec) {
     std::string error;
     auto parsed = wire::parse_job(spec, error);
     ASSERT_TRUE(parsed) << error;
     specs_[parsed->id] = *parsed;
+    // Its user comes again until there is room.
+    if (!takes(2)) return at(now_ + 1'000, [this, spec] { submit(spec); });
     set_key(jobs::job_key(parsed->id), Json{{"final", nullptr}, {"tasks", parsed->tasks}});
     set_key(jobs::open_key(parsed->id), jobs::open_record(spec, now_, false));
     tell_leader(jobs::open_key(parsed->id));
@@ -411,7 +566,7 @@
     if (open == keys_.end() || !final_state(id).empty()) return;
     unwanted_.insert(id);
     Json record = open->second.value;
-    if (wire::flag(record, "unwanted").value_or(false)) return;
+    if (wire::flag(record, "unwanted").value_or(false) || !takes(1)) return;
     record["unwanted"] = true;
     state::Txn txn;
     txn.conditions = {{jobs::open_key(id), open->second.version}};
@@ -472,8 +627,11 @@
         if (!w.value) {
             keys_.erase(w.key);
             if (std::string id = jobs::id_of_open_key(w.key); !id.empty()) {
-                at(now_ + delay(20), [this, id] {
-                    if (leader() != nullptr) leader()->on_open_dropped(id);
+                const Millis slow = trouble_.slow_drops > 0 ? delay(trouble_.slow_drops) : 0;
+                at(std::max(watched(), watch_from_) + slow, [this, id, then = now_] {
+                    // What the watch has missed is in the list.
+                    if (leader() != nullptr && then >= listed_at_ && now_ >= watch_lost_until_)
+                        leader()->on_open_dropped(id, now_);
                 });
             }
             continue;
@@ -482,6 +640,11 @@
         if (w.key.rfind("job/", 0) == 0 && wire::text(*w.value, "final") == "withdrawn") {
             told_cancelled(w.key.substr(4));
         }
+        if (std::string id = w.key.substr(std::min<std::size_t>(4, w.key.size()));
+            w.key == jobs::job_key(id)) {
+            EXPECT_EQ(final_state(id), "") << "went_back: " << id << " is told twice";
+            final_at_.emplace(id, now_);
+        }
         keys_[w.key] = {*w.value, revision_};
         if (w.key.rfind("job/", 0) == 0 && wire::text(*w.value, "final") == "done") {
             std::string id = w.key.substr(4);
@@ -494,10 +657,28 @@
     return reply;
 }
 
+// Of the table in docs/design/meetings.md, as far as leaders and holders write them.
+static const char* what_of(const state::Txn& txn) {
+    bool run = false;
+    for (const auto& w : txn.writes) {
+        if (w.key.rfind("job/", 0) == 0) return "end";
+        if (w.key.rfind("block/", 0) == 0) return "block";
+        if (w.key.rfind(duties::kIntentPrefix, 0) == 0) return "intent";
+        run |= w.value.has_value();
+    }
+    return run ? "checkpoint" : "left over";
+}
+
+bool World::answer_lost_of(const state::Txn& txn) {
+    if (trouble_.at_once == 0) return false;
+    const std::string& of = trouble_.at_once_of;
+    return (of.empty() || of == what_of(txn)) && chance(trouble_.at_once);
+}
+
 void World::Node::commit(state::Txn txn,
                          std::function<void(Millis, const state::CommitReply&)> done) {
     World& w = *world;
-    if (!w.served(*this) || (w.seats_ && w.now_ >= trust_until)) {
+    if (!w.served(*this) || (w.seats_ && w.now_ >= trust_until) || !w.takes(txn.writes.size())) {
         state::CommitReply reply;
         reply.outcome = state::Outcome::refused;
         w.at(w.now_ + w.delay(10), [&w, reply, done] { done(w.now_, reply); });
@@ -508,10 +689,16 @@
     Millis arrive =
         w.now_ + held + (held == 0 && lost && w.chance(0.5) ? w.delay(40'000) : w.delay(10));
     const bool late = arrive > w.now_ + 2'500;
-    w.at(arrive, [&w, txn, done, lost, late] {
+    const bool at_once = !lost && w.answer_lost_of(txn);
+    lost |= at_once;
+    w.at(arrive, [&w, txn, done, lost, late, at_once] {
         state::CommitReply reply;
         reply.outcome = state::Outcome::refused;
         if (w.state_up()) reply = w.apply(txn);
+        if (at_once && reply.outcome == state::Outcome::ok) {
+            ++w.met_.at_once[what_of(txn)];
+            if (w.on_at_once) w.on_at_once(what_of(txn));
+        }
         if (late)
             ++(reply.outcome == state::Outcome::ok ? w.met_.late_applied : w.met_.late_refused);
         if (!lost) w.at(w.now_ + w.delay(5), [&w, reply, done] { done(w.now_, reply); });
@@ -583,6 +770,7 @@
             w.now_ < it->second->deaf_until || w.now_ < it->second->mute_until)
             return;
         Machine& m = *it->second;
+        w.step(m);  // its session may have ended by now
         book::DirectReply reply;
         reply.delivery = book::Delivery::answered;
         reply.executed = token >= m.token && session == m.session;
@@ -610,7 +798,9 @@
     const auto [arrive, lost] = w.to_cloud();
     w.at(arrive, [&w, request, asked, done, lost = lost] {
         auto reply = w.rent(request, asked);
-        if (!lost) done(w.now_, reply);
+        if (lost) return;
+        for (const std::string& name : reply.machines) w.machines_[name]->answered_for = true;
+        done(w.now_, reply);
     });
     if (lost) w.at(w.now_ + 4'000, [&w, done] { done(w.now_, fleet::HireReply{}); });
 }
@@ -645,7 +835,8 @@
         reply.machines.push_back(m->name);
         std::string name = m->name;
         machines_[name] = std::move(m);
-        at(now_ + 5000 + delay(10'000), [this, name] { comes_up(name); });
+        at(now_ + trouble_.boot_least + delay(trouble_.boot_most - trouble_.boot_least),
+           [this, name] { comes_up(name); });
     }
     hires_[request] = asked;
     hires_[request].machines = reply.machines;
@@ -688,6 +879,7 @@
     Machine& m = *machines_[name];
     if (m.removed) return;
     m.up = true;
+    m.up_at = now_;
     m.lease_from = now_;
     m.target = random_() % nodes_.size();
     checkin(name, m.life);
@@ -705,6 +897,11 @@
     m.tasks.clear();
 }
 
+void World::fail_machine(const std::string& name) {
+    kill_machine(name);
+    machines_[name]->failed = true;
+}
+
 wire::Report World::report_of(Machine& m) {
     wire::Report r;
     r.machine = r.address = m.name;
@@ -819,10 +1016,14 @@
     if (m.first.machine.empty()) m.first = r;
     m.last = r;
     late_copies(r);
+    if (trouble_.for_next > 0 && chance(trouble_.for_next)) keep_for_next(r, SIZE_MAX, false);
+    if (trouble_.held_checkin > 0 && chance(trouble_.held_checkin))
+        return keep_for_next(r, m.target, follows);
     if (chance(trouble_.lost_checkin) || !reaches(m, m.target)) return;
     at(now_ + delay(10), [this, name, r, sent, session, follows, life] {
         Machine& m = *machines_[name];
         const bool deaf = now_ < m.deaf_until;
+        met_.unanswered += m.answered_for ? 0 : 1;
         const dispatch::CheckinAnswer a = hear(m.target, r, follows);
         if (m.life != life || deaf) return;
         if (a.status != 200) {
@@ -886,12 +1087,47 @@
 }
 
 bool World::reaches(const Machine& m, std::size_t node) const {
+    if (now_ < m.unheard_until) return false;
     const bool inside = node < 2 && share_ > 0 && deputy_cut(node);
     const Cut* c = cut_of(m);
     if (c == nullptr) return !inside || m.zone == zone_of(node);
     return inside && m.zone == zone_of(node);
 }
 
+std::string World::out_of_step() {
+    if (leader() == nullptr) return "nobody leads";
+    for (const auto& [id, j] : leader()->open_jobs()) {
+        if (keys_.count(jobs::open_key(id)) == 0 && j->state != jobs::JobState::finished)
+            return id + " is over, and in the book as " + jobs::name(j->state);
+    }
+    for (const auto& [key, stored] : keys_) {
+        const std::string id = jobs::id_of_open_key(key);
+        if (!id.empty() && leader()->open_jobs().count(id) == 0) return id + " is not in the book";
+    }
+    return "";
+}
+
+double World::uses(const std::string& team) const {
+    double sum = 0;
+    for (const auto& [name, m] : machines_) {
+        if (m->removed || m->dead) continue;
+        for (const auto& [id, t] : m->tasks) {
+            const wire::JobSpec& spec = specs_.at(id.first);
+            sum += t.phase != "exited" && spec.team == team ? spec.gpus : 0;
+        }
+    }
+    return sum;
+}
+
+std::size_t World::on_machines(const std::string& id) const {
+    std::size_t n = 0;
+    for (const auto& [name, m] : machines_) {
+        if (m->removed || m->dead) continue;
+        for (const auto& [task, t] : m->tasks) n += on_machine(t) && task.first == id ? 1 : 0;
+    }
+    return n;
+}
+
 std::size_t World::running(const std::string& zone) const {
     std::size_t n = 0;
     for (const auto& [name, m] : machines_) {
@@ -930,7 +1166,10 @@
             }
         } else {
             if (!m.known.insert({c.job, c.task, c.attempt}).second) continue;
+            EXPECT_EQ(cancelled_.count(c.job), 0u)
+                << "a start after the confirmed end of " << c.job;
             ASSERT_TRUE(specs_.count(c.job));
+            waits_since_.erase(c.job);
             const wire::JobSpec& spec = specs_[c.job];
             Task t;
             t.attempt = c.attempt;
@@ -1023,6 +1262,7 @@
             t.phase = spec.shape == wire::Shape::gang ? "gathering" : "running";
             t.waits_until = now_ + seconds(settings_.gang_wait_s);
             t.done_at = now_ + 3000 + delay(9000);
+            if (auto l = lengths_.find(id.first); l != lengths_.end()) t.done_at = now_ + l->second;
             check_start(m, id);
             if (m.sick || spoilt_.count(id.first) != 0) {
                 t.phase = "exited";
@@ -1100,6 +1340,71 @@
     }
 }
 
+bool World::would_fit(const std::string& id, const wire::JobSpec& spec) const {
+    std::set<std::uint32_t> there;
+    std::map<std::string, std::uint32_t> in_zone, room;
+    double limit = 0, used = 0;
+    for (const auto& rule : settings_.teams) limit += rule.name == spec.team ? rule.gpus_max : 0;
+    for (const auto& [name, m] : machines_) {
+        for (const auto& [task, t] : m->tasks) {
+            if (t.phase == "exited") continue;
+            if (specs_.at(task.first).team == spec.team) used += specs_.at(task.first).gpus;
+            if (task.first != id) continue;
+            there.insert(task.second);
+            ++in_zone[m->zone];
+        }
+    }
+    const bool gang = spec.shape == wire::Shape::gang;
+    std::uint32_t wanted = 0;
+    for (std::uint32_t t = 0; t < spec.tasks; ++t)
+        wanted += there.count(t) == 0 && done_.count({id, t}) == 0 ? 1 : 0;
+    if (gang && wanted < spec.tasks) return false;
+    const std::uint32_t least = gang ? spec.tasks : 1;
+    if (wanted == 0 || (limit > 0 && used + least * spec.gpus > limit + 1e-6)) return false;
+    for (const auto& [name, m] : machines_) {
+        const bool sound = m->up && !m->dead && !m->removed && !m->sick && cut_of(*m) == nullptr &&
+                           now_ >= m->deaf_until && now_ >= m->mute_until &&
+                           now_ >= m->unheard_until;
+        const bool type_ok =
+            spec.any_type || std::count(spec.types.begin(), spec.types.end(), m->type);
+        if (!sound || !type_ok || (spec.zone && *spec.zone != m->zone) || (m->spot && !spec.spot))
+            continue;
+        const auto type = std::find_if(types_.begin(), types_.end(),
+                                       [&](const auto& known) { return known.name == m->type; });
+        double cpus = type->cpus, gpus = type->gpus, memory = type->memory_gb;
+        for (const auto& [task, t] : m->tasks) {
+            if (t.phase == "exited") continue;
+            const wire::JobSpec& other = specs_.at(task.first);
+            cpus -= other.cpus, gpus -= other.gpus, memory -= other.memory_gb;
+        }
+        room[m->zone] +=
+            placing::how_many(cpus, gpus, memory, {spec.cpus, spec.gpus, spec.memory_gb}, least);
+    }
+    std::uint32_t all = 0, most = 0;
+    for (auto& [zone, n] : room) {
+        const bool other_zone = spec.one_zone && !in_zone.empty() && in_zone.count(zone) == 0;
+        const std::uint32_t half = (spec.tasks + 1) / 2;
+        if (spec.spread) n = std::min(n, half - std::min(half, in_zone[zone]));
+        if (other_zone) continue;
+        all += n;
+        most = std::max(most, n);
+    }
+    return (gang && spec.one_zone ? most : all) >= least;
+}
+
+void World::check_waits() {
+    for (const auto& [id, spec] : specs_) {
+        if (!final_state(id).empty() || unwanted_.count(id) != 0 || !would_fit(id, spec)) {
+            waits_since_.erase(id);
+            continue;
+        }
+        const Millis wait = now_ - waits_since_.try_emplace(id, now_).first->second;
+        met_.longest_wait = std::max(met_.longest_wait, wait);
+        EXPECT_LE(wait, longest_wait_)
+            << id << " waits though it fits; " << what_runs() << book_says();
+    }
+}
+
 // Of the jobs that the leader has.
 std::string World::book_says() {
     if (leader() == nullptr) return "nobody leads";
@@ -1144,6 +1449,7 @@
         if (now_ >= next_check) {
             next_check = now_ + 500;
             check_all();
+            if (longest_wait_ != kNever) check_waits();
             if (chance(trouble_.takeover * 0.5)) take_over();
             if (chance(trouble_.machine_dies * 0.5)) {
                 if (std::string name = any_machine(); !name.empty()) kill_machine(name);
