--- a/tests/evidence_test.cpp
+++ b/tests/evidence_test.cpp
@@ -11,6 +11,7 @@
 
 using namespace nickelramp;
 using test::job;
+using test::report;
 using test::Trouble;
 using test::World;
 using workers::Contact;
@@ -113,14 +114,6 @@
     EXPECT_GT(hints, 100u);
 }
 
-wire::Report report(std::uint64_t session, std::uint64_t seq, std::uint64_t token) {
-    wire::Report r;
-    r.session = session;
-    r.seq = seq;
-    r.token = token;
-    return r;
-}
-
 // What arrives shows that the machine is there, not that it can be reached.
 TEST(Evidence, AMachineThatHearsNothingIsDeafUntilSomethingReachesIt) {
     Contact c;
--- a/tests/reach_test.cpp
+++ b/tests/reach_test.cpp
@@ -11,6 +11,7 @@
 
 using namespace nickelramp;
 using test::job;
+using test::report;
 using test::Trouble;
 using test::World;
 using workers::Contact;
@@ -134,14 +135,6 @@
     EXPECT_GT(inherited, 300u);
 }
 
-wire::Report report(std::uint64_t session, std::uint64_t seq, std::uint64_t token) {
-    wire::Report r;
-    r.session = session;
-    r.seq = seq;
-    r.token = token;
-    return r;
-}
-
 // An answer shows that it is there and renews nothing.
 TEST(Reach, WhatAnswersAndDoesNotReportIsMute) {
     Contact c;
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -47,6 +47,14 @@
             {"due_s", nullptr}};
 }
 
+wire::Report report(std::uint64_t session, std::uint64_t seq, std::uint64_t token) {
+    wire::Report r;
+    r.session = session;
+    r.seq = seq;
+    r.token = token;
+    return r;
+}
+
 World::World(std::uint64_t seed, Trouble trouble, std::uint32_t share,
              std::vector<wire::MachineType> types)
     : settings_(world_settings()), share_(share), trouble_(trouble), random_(seed) {
--- a/tests/world.h
+++ b/tests/world.h
@@ -390,5 +390,6 @@
 };
 
 wire::Json job(const std::string& id, const std::string& shape, std::uint32_t tasks, double gpus);
+wire::Report report(std::uint64_t session, std::uint64_t seq, std::uint64_t token);
 
 }  // namespace nickelramp::test
