--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -24,6 +24,7 @@
 Response failure(int status, const std::string& what) {
     return {status, wire::encode({{"error", what}}), 0, "application/cbor"};
 }
+Response not_known() { return failure(404, "no such job"); }
 Response ok(int status, const Json& body) {
     return {status, wire::encode(body), 0, "application/cbor"};
 }
@@ -86,7 +87,7 @@
     else if (abort && request.method == "POST")
         cancel(asked(id, kChangeWait, std::move(respond)));
     else if (!abort && request.method == "GET")
-        query(asked(id, kQueryWait, std::move(respond)));
+        query(asked(id, kQueryWait, std::move(respond)), not_known());
     else
         respond(failure(405, abort ? "use POST" : "use GET"));
     return true;
@@ -148,23 +149,10 @@
     std::string never = impossible(*spec, settings_, types_);
     if (!never.empty()) {
         // A job that was accepted before must not be turned away now.
-        begin();
-        answers_.ask(
-            a.id, left(a),
-            [this, a, never](Answers::Found found, const Told& told) {
-                end();
-                if (found == Answers::Found::told)
-                    answer_known(told, a);
-                else if (found == Answers::Found::missing)
-                    a.respond(failure(422, never));
-                else
-                    a.respond(busy());
-            },
-            hooks_.now());
-        return;
+        return query(std::move(a), failure(422, never));
     }
     // A repeated one costs no change.
-    if (answers_.knows(a.id)) return query(std::move(a));
+    if (answers_.knows(a.id)) return query(std::move(a), not_known());
     state::Txn txn;
     txn.conditions = {{job_key(a.id), 0}};
     txn.writes = {{job_key(a.id), Json{{"final", nullptr}, {"tasks", spec->tasks}}},
@@ -180,23 +168,23 @@
         if (r.outcome == state::Outcome::ok)
             answer("submit", a, ok(201, wire::job_answer(a.id, JobStatus::pending)));
         else if (r.outcome == state::Outcome::conflict)
-            query(a);  // known already
+            query(a, not_known());  // it is known already
         else
             answer("submit", a, busy());
     });
 }
 
-void Desk::query(Asked a) {
+void Desk::query(Asked a, Response missing) {
     begin();
     const Millis wait = left(a);
     answers_.ask(
         a.id, wait,
-        [this, a](Answers::Found found, const Told& told) {
+        [this, a, missing = std::move(missing)](Answers::Found found, const Told& told) {
             end();
             if (found == Answers::Found::told)
                 answer_known(told, a);
             else if (found == Answers::Found::missing)
-                a.respond(failure(404, "no such job"));
+                a.respond(missing);
             else
                 a.respond(busy());
         },
@@ -214,7 +202,7 @@
         [this, a](Answers::Found found, const Told& told) {
             end();
             if (found == Answers::Found::missing)
-                a.respond(failure(404, "no such job"));
+                a.respond(not_known());
             else if (found == Answers::Found::told && told.final)
                 answer_known(told, a);
             else if (found == Answers::Found::unknown || left(a) <= 0)
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -51,7 +51,8 @@
     };
     void submit(const net::Request& request, Respond respond);
     void accept(const state::Txn& txn, Asked a);
-    void query(Asked a);
+    // Answers with what is known of the job; `missing`: where there is no record of it.
+    void query(Asked a, net::Response missing);
     void cancel(Asked a);
     void read_open_for_cancel(Asked a);
     void wish(const state::Item& open, Asked a);
