A gang that is done in part on record is done

Its completion takes more than one transaction where it has more than 64 times txn_ops tasks. When the leader changed in between and the machines of the rest died, it neither ended nor started again. Found by reading; the test fails without the mend.

--- a/src/book/book.cpp
+++ b/src/book/book.cpp
@@ -158,6 +158,10 @@
 
 // What is still to be started?
 void Book::loaded(Job& j) {
+    // A gang completes as a whole, of which the last leader may have recorded a part.
+    if (j.gang() && j.done > 0) {
+        for (std::uint32_t t = 0; t < j.spec.tasks; ++t) j.mark_done(t);
+    }
     // Fresh tasks are those that no record names.
     std::vector<char> named;
     std::uint32_t last = 0;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -397,6 +397,22 @@
               (std::set<std::string>{"run/job-1/4", "run/job-1/5", "run/job-1/6", "run/job-1/7"}));
 }
 
+// A gang completes as a whole. The last leader's record of that may be a part of it, and the
+// machines of the rest gone: neither another attempt nor anybody's report would ever end it.
+TEST(Parts, AGangThatIsDoneInPartOnRecordIsDone) {
+    Parts p;
+    Job& j = p.enter(job("job-1", "ensemble", 130, 0));
+    jobs::RunRecord done, started;
+    done.done = UINT64_MAX;
+    for (std::uint32_t t = 64; t < 128; ++t) started.entries.push_back({t, 1, true, "m-9"});
+    p.book.load_run(j, 0, done, 3, 0, 10);
+    p.book.load_run(j, 1, started, 4, 0, 10);
+    EXPECT_TRUE(p.post.commits.empty());
+    p.intake.complete_load(j, 20);
+    ASSERT_EQ(p.post.commits.size(), 1u);
+    EXPECT_EQ(wire::text(*p.post.commits.front().first.writes[0].value, "final"), "done");
+}
+
 // --- order
 
 // The forecast of the queue against a plain one that serves it task by task. They may differ by a
