What the cloud's list lacks is looked for in one pass, and taken for gone once

A machine that a record names and that had been listed was found by two loops one after the other, and would have been taken for gone twice.

--- a/src/domains/silence.cpp
+++ b/src/domains/silence.cpp
@@ -112,24 +112,18 @@
     std::vector<Machine*> missing;
     auto look_for = [&](Index i) {
         Machine* m = book_.machine_at(i);
-        if (m->listed_at != 0 && m->listed_at + behind < asked && listed.count(m->name) == 0) {
-            missing.push_back(m);
-        }
+        // One that only a job's record names was there before that was read, if it is there at all.
+        // It went under an earlier leader, and its tasks would wait for three leases.
+        const bool recorded = m->state == workers::MachineState::booting && !m->attempts.empty();
+        const bool long_ago = (m->listed_at != 0 && m->listed_at + behind < asked) ||
+                              (recorded && m->hired_at + behind < asked);
+        if (long_ago && listed.count(m->name) == 0) missing.push_back(m);
     };
     std::for_each(book_.silent().begin(), book_.silent().end(), look_for);
     // A new leader's first list may show what its predecessor returned: no work is to wait for it.
     for (Index i : book_.coming()) {
         if (book_.silent().count(i) == 0) look_for(i);
     }
-    // One that only a job's record names was there before it was read, if it is there at all. It
-    // went under an earlier leader, and its tasks would wait for three leases.
-    for (Index i : book_.coming()) {
-        Machine* m = book_.machine_at(i);
-        if (m->state == workers::MachineState::booting && !m->attempts.empty() &&
-            m->hired_at + behind < asked && listed.count(m->name) == 0) {
-            missing.push_back(m);
-        }
-    }
     for (Machine* m : missing) {
         spdlog::info("machine {} is not in the cloud's list any more", m->name);
         book_.machine_gone(*m, now);
