--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -56,7 +56,7 @@
       state_(loop, *net::parse_address(settings.state), settings.state, share_of(settings, false)),
       cloud_(loop, *net::parse_address(settings.cloud), settings.cloud, settings.cloud_rps),
       answers_(loop, state_, settings),
-      desk_(settings, state_, answers_,
+      desk_(settings, answers_.records(), answers_.answers(),
             {[this] { return wall_ms(); }, [this] { return now(); },
              [this](const char* request, int status, Millis took) {
                  metrics_.answered(request, status, static_cast<double>(took));
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -13,6 +13,7 @@
 #include "dispatch/holding.h"
 #include "duties/office.h"
 #include "fleet/cloud.h"
+#include "jobs/confirmed.h"
 #include "jobs/desk.h"
 #include "leadership/runner.h"
 #include "net/http_server.h"
--- a/src/jobs/answers.cpp
+++ b/src/jobs/answers.cpp
@@ -10,8 +10,8 @@
 namespace {
 constexpr const char* kPrefix = "job/";
 constexpr std::size_t kPrefixLength = 4;
-constexpr std::size_t kGeneration = 10'000;  // records in each of the two halves
-constexpr Millis kKeepUp = 5'000;            // read at least so often, or too much has changed
+constexpr Millis kKeepUp = 5'000;  // read at least so often, or too much has changed
+constexpr Millis kLookUp = 1'000;
 }  // namespace
 
 std::optional<Told> read_told(const wire::Json& record, std::uint64_t version) {
@@ -40,8 +40,8 @@
     return "?";
 }
 
-Answers::Answers(Records& records, Millis gap, std::function<void(Millis)> wake)
-    : records_(records), gap_(gap), wake_(std::move(wake)) {}
+Answers::Answers(Records& records, Millis gap, std::function<void(Millis)> wake, std::size_t half)
+    : records_(records), gap_(gap), wake_(std::move(wake)), half_(half) {}
 
 void Answers::set_state(AnswersState s) { state_ = s; }
 
@@ -56,7 +56,8 @@
 void Answers::keep(const std::string& id, const Told& told) {
     // A lookup may have been faster than the read of the change before it.
     if (const Told* known = find(id); known != nullptr && known->version > told.version) return;
-    if (young_.size() >= kGeneration) {
+    if (young_.size() >= half_) {
+        ++generation_;  // what a lookup under way has missed may be among what goes
         old_ = std::move(young_);
         young_.clear();
     }
@@ -148,40 +149,46 @@
 void Answers::look_up(const std::string& id, std::vector<Question> questions) {
     auto [it, fresh] = looked_up_.try_emplace(id);
     // One that is under way may have been executed before these came; it is asked again after it.
-    std::move(questions.begin(), questions.end(), std::back_inserter(it->second));
+    std::vector<Question>& list = fresh ? it->second.asked : it->second.later;
+    std::move(questions.begin(), questions.end(), std::back_inserter(list));
     if (!fresh) return;
-    const std::size_t asked = it->second.size();
-    records_.get(job_key(id), [this, id, asked, based = revision_ != 0, g = generation_](
-                                  Millis, const state::GetReply& r) {
-        auto node = looked_up_.extract(id);
-        std::vector<Question> all = std::move(node.mapped());
-        std::vector<Question> later;
-        std::move(all.begin() + static_cast<std::ptrdiff_t>(asked), all.end(),
-                  std::back_inserter(later));
-        all.resize(asked);
-        const auto told = r.outcome == state::Outcome::ok ? read_told(r.item.value, r.item.version)
-                                                          : std::nullopt;
-        // Whatever has changed it since this was asked is known by now, if changes were followed by
-        // then: a lookup of before the first revision may be older than that.
-        if (told && based && g == generation_ && find(id) == nullptr) keep(id, *told);
-        if (!later.empty()) look_up(id, std::move(later));
-        for (Question& q : all) {
-            if (told)
-                q.done(Found::told, *told);
-            else
-                q.done(r.outcome == state::Outcome::missing ? Found::missing : Found::unknown, {});
-        }
-    });
+    records_.get(
+        job_key(id), kLookUp,
+        [this, id, based = revision_ != 0, g = generation_](Millis, const state::GetReply& r) {
+            on_looked_up(id, based && g == generation_, r);
+        });
+}
+
+// Whatever has changed the record since it was asked for is known by now, if changes were followed
+// by then and nothing kept was let go since: `may_keep`.
+void Answers::on_looked_up(const std::string& id, bool may_keep, const state::GetReply& r) {
+    auto node = looked_up_.extract(id);
+    const auto told =
+        r.outcome == state::Outcome::ok ? read_told(r.item.value, r.item.version) : std::nullopt;
+    if (told && may_keep && find(id) == nullptr) keep(id, *told);
+    if (!node.mapped().later.empty()) look_up(id, std::move(node.mapped().later));
+    for (Question& q : node.mapped().asked) {
+        if (told)
+            q.done(Found::told, *told);
+        else
+            q.done(r.outcome == state::Outcome::missing ? Found::missing : Found::unknown, {});
+    }
 }
 
 void Answers::tend(Millis now) {
     std::vector<Done> late;
-    for (auto* list : {&waiting_, &served_}) {
-        std::erase_if(*list, [&](Question& q) {
+    auto expire = [&](std::vector<Question>& list) {
+        std::erase_if(list, [&](Question& q) {
             if (now < q.until) return false;
             late.push_back(std::move(q.done));
             return true;
         });
+    };
+    expire(waiting_);
+    expire(served_);
+    for (auto& [id, l] : looked_up_) {
+        expire(l.asked);
+        expire(l.later);
     }
     for (Done& done : late) done(Found::unknown, {});
     if (state_ == AnswersState::idle || state_ == AnswersState::pausing) go_on(now);
--- a/src/jobs/answers.h
+++ b/src/jobs/answers.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "base/time.h"
-#include "state/client.h"
+#include "jobs/records.h"
 #include "wire/messages.h"
 
 namespace nickelramp::jobs {
@@ -24,19 +24,6 @@
 };
 std::optional<Told> read_told(const wire::Json& record, std::uint64_t version);
 
-// What this asks of the state service. Every call is answered once, later.
-class Records {
-  public:
-    virtual ~Records() = default;
-    // All changes under the prefix after that revision, and the revision that they lead to.
-    virtual void changes(const std::string& prefix, std::uint64_t after,
-                         std::function<void(Millis, const state::ListReply&)> done) = 0;
-    virtual void get(const std::string& key,
-                     std::function<void(Millis, const state::GetReply&)> done) = 0;
-    // Something at or after the present revision, as a place to begin.
-    virtual void revision(std::function<void(Millis, const state::ListReply&)> done) = 0;
-};
-
 // idle:     nobody waits
 // pausing:  somebody waits; the next read is not due yet
 // reading:  a read is under way; who comes now waits for the next one
@@ -49,10 +36,11 @@
     enum class Found { told, missing, unknown };
     using Done = std::function<void(Found, const Told&)>;
 
-    // `gap`: between two reads. `wake`: come back at that time.
-    Answers(Records& records, Millis gap, std::function<void(Millis)> wake);
+    // `gap`: between two reads. `wake`: come back at that time. `half`: records in each half.
+    Answers(Records& records, Millis gap, std::function<void(Millis)> wake,
+            std::size_t half = 10'000);
 
-    // Answered once, `patience` later at the latest.
+    // Answered once, at the first `tend` after `patience` at the latest.
     void ask(const std::string& id, Millis patience, Done done, Millis now);
     // Is there a record of the job, as far as is known without a read?
     bool knows(const std::string& id) const { return find(id) != nullptr; }
@@ -67,10 +55,15 @@
         Millis until;
         Done done;
     };
+    // One get for all of them. Those that came while it was under way are asked for after it.
+    struct LookUp {
+        std::vector<Question> asked, later;
+    };
     void set_state(AnswersState s);
     void go_on(Millis now);
     void read();
     void begin();
+    void on_looked_up(const std::string& id, bool may_keep, const state::GetReply& r);
     void on_changes(const state::ListReply& r, Millis now);
     void look_up_all(std::vector<Question> questions);
     void look_up(const std::string& id, std::vector<Question> questions);
@@ -82,11 +75,12 @@
     std::function<void(Millis)> wake_;
     AnswersState state_ = AnswersState::idle;
     std::uint64_t revision_ = 0;  // what is known is true of it; 0: nothing is
-    std::uint64_t generation_ = 0;
+    const std::size_t half_;
+    std::uint64_t generation_ = 0;  // grows whenever something kept is let go
     Millis read_at_ = 0;
-    std::vector<Question> waiting_;                                     // for the next read
-    std::vector<Question> served_;                                      // by the one under way
-    std::unordered_map<std::string, std::vector<Question>> looked_up_;  // one get for all of them
+    std::vector<Question> waiting_;  // for the next read
+    std::vector<Question> served_;   // by the one under way
+    std::unordered_map<std::string, LookUp> looked_up_;
     std::unordered_map<std::string, Told> young_, old_;  // the last that were of interest
 };
 
--- a/src/jobs/confirmed.cpp
+++ b/src/jobs/confirmed.cpp
@@ -23,19 +23,28 @@
       timer_(loop, [this] { tend(); }),
       answers_(*this, gap(settings), [this](Millis at) { timer_.after(at - now()); }) {}
 
+void Confirmed::get(const std::string& key, Millis wait, Done<state::GetReply> done) {
+    client_.get(key, state::Urgency::user, wait, net::timed(loop_, std::move(done)));
+}
+
 void Confirmed::changes(const std::string& prefix, std::uint64_t after,
-                        std::function<void(Millis, const state::ListReply&)> done) {
+                        Done<state::ListReply> done) {
     client_.changes(prefix, after, state::Urgency::first, kTimeout,
                     net::timed(loop_, std::move(done)));
 }
 
-void Confirmed::get(const std::string& key,
-                    std::function<void(Millis, const state::GetReply&)> done) {
-    client_.get(key, state::Urgency::user, kTimeout, net::timed(loop_, std::move(done)));
+void Confirmed::revision(Done<state::ListReply> done) {
+    client_.page("job/", "", 1, state::Urgency::first, net::timed(loop_, std::move(done)));
+}
+
+void Confirmed::commit(const state::Txn& txn, Millis wait, Done<state::CommitReply> done) {
+    client_.commit(txn, state::Urgency::user, wait, net::timed(loop_, std::move(done)));
 }
 
-void Confirmed::revision(std::function<void(Millis, const state::ListReply&)> done) {
-    client_.page("job/", "", 1, state::Urgency::first, net::timed(loop_, std::move(done)));
+void Confirmed::watch(const std::string& prefix, std::uint64_t after, Millis wait,
+                      Done<state::ListReply> done) {
+    const Millis held = wait / 2;  // the rest is for its answer
+    client_.watch(prefix, after, held, net::timed(loop_, std::move(done)), wait - held);
 }
 
 }  // namespace nickelramp::jobs
--- a/src/jobs/confirmed.h
+++ b/src/jobs/confirmed.h
@@ -1,9 +1,10 @@
-// Runs the answers to users on libuv: their reads go to the state service's client, their dates to
-// a timer.
+// Runs the answers to users on libuv: what they ask of the state service goes to its client, their
+// dates to a timer.
 #pragma once
 #include <string>
 
 #include "jobs/answers.h"
+#include "jobs/records.h"
 #include "net/timer.h"
 #include "wire/settings.h"
 
@@ -13,18 +14,18 @@
   public:
     Confirmed(uv_loop_t* loop, state::Client& state, const wire::Settings& settings);
 
-    void ask(const std::string& id, Millis patience, Answers::Done done) {
-        answers_.ask(id, patience, std::move(done), now());
-    }
-    bool knows(const std::string& id) const { return answers_.knows(id); }
+    Records& records() { return *this; }
+    Answers& answers() { return answers_; }
     void tend() { answers_.tend(now()); }
 
   private:
+    void get(const std::string& key, Millis wait, Done<state::GetReply> done) override;
     void changes(const std::string& prefix, std::uint64_t after,
-                 std::function<void(Millis, const state::ListReply&)> done) override;
-    void get(const std::string& key,
-             std::function<void(Millis, const state::GetReply&)> done) override;
-    void revision(std::function<void(Millis, const state::ListReply&)> done) override;
+                 Done<state::ListReply> done) override;
+    void revision(Done<state::ListReply> done) override;
+    void commit(const state::Txn& txn, Millis wait, Done<state::CommitReply> done) override;
+    void watch(const std::string& prefix, std::uint64_t after, Millis wait,
+               Done<state::ListReply> done) override;
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
 
     uv_loop_t* loop_;
--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -13,11 +13,10 @@
 using wire::Json;
 
 namespace {
-constexpr Millis kSubmitWait = 3500;  // users wait 5 s
+constexpr Millis kChangeWait = 3500;  // submissions and cancels: users wait 5 s
 constexpr Millis kQueryWait = 1500;   // users wait 2 s
 constexpr std::size_t kMostOpen = 1000;
-constexpr int kCancelTries = 5;
-constexpr Millis kEndWait = 400;         // for what usually takes a tenth of it
+constexpr Millis kEndWait = 800;         // for what usually takes a twentieth of it
 constexpr std::size_t kMostAwaited = 2;  // at once; the others ask again
 
 Response busy() { return {503, wire::encode({{"error", "try again"}}), 1, "application/cbor"}; }
@@ -53,18 +52,18 @@
     return "";
 }
 
-Desk::Desk(const wire::Settings& settings, state::Client& state, Confirmed& answers, Hooks hooks)
-    : settings_(settings), state_(state), answers_(answers), hooks_(std::move(hooks)) {}
+Desk::Desk(const wire::Settings& settings, Records& records, Answers& answers, Hooks hooks)
+    : settings_(settings), records_(records), answers_(answers), hooks_(std::move(hooks)) {}
 
-bool Desk::handle(const net::Request& request, const net::Responder& responder) {
+bool Desk::handle(const net::Request& request, Respond respond) {
     const std::string& path = request.path;
     if (path == "/work") {
         if (request.method != "POST")
-            responder.send(failure(405, "use POST"));
+            respond(failure(405, "use POST"));
         else if (open_ >= kMostOpen)
-            responder.send(busy());
+            respond(busy());
         else
-            submit(request, responder);
+            submit(request, std::move(respond));
         return true;
     }
     if (path.rfind("/work/", 0) != 0) return false;
@@ -72,194 +71,197 @@
     bool abort = id.size() > 6 && id.compare(id.size() - 6, 6, "/abort") == 0;
     if (abort) id.resize(id.size() - 6);
     if (!wire::valid_job_id(id))
-        responder.send(failure(id.find('/') == std::string::npos ? 400 : 404, "id"));
+        respond(failure(id.find('/') == std::string::npos ? 400 : 404, "id"));
     else if (open_ >= kMostOpen)
-        responder.send(busy());
+        respond(busy());
     else if (abort && request.method == "POST")
-        cancel(id, kCancelTries, responder);
+        cancel(asked(id, kChangeWait, std::move(respond)));
     else if (!abort && request.method == "GET")
-        query(id, responder);
+        query(asked(id, kQueryWait, std::move(respond)));
     else
-        responder.send(failure(405, abort ? "use POST" : "use GET"));
+        respond(failure(405, abort ? "use POST" : "use GET"));
     return true;
 }
 
+Desk::Asked Desk::asked(const std::string& id, Millis wait, Respond respond) const {
+    const Millis now = hooks_.now();
+    return {id, now, now + wait, std::move(respond)};
+}
+
 void Desk::begin() {
     if (open_++ == 0) idle_until_ = hooks_.now();
 }
 
 void Desk::end() { --open_; }
 
-void Desk::answer(const char* request, Millis since, const net::Responder& responder,
-                  const net::Response& response) {
-    hooks_.answered(request, response.status, hooks_.now() - since);
-    responder.send(response);
+void Desk::answer(const char* request, const Asked& a, const Response& response) {
+    hooks_.answered(request, response.status, hooks_.now() - a.since);
+    a.respond(response);
 }
 
 // Answers from the job's own record.
-void Desk::answer_known(const std::string& id, const Told& told, const net::Responder& r) {
+void Desk::answer_known(const Told& told, const Asked& a) {
     if (told.final) {
         const std::uint64_t done = *told.final == JobStatus::done ? told.tasks : 0;
-        r.send(ok(200, wire::job_answer(id, *told.final, done, 0)));
+        a.respond(ok(200, wire::job_answer(a.id, *told.final, done, 0)));
     } else {
         std::uint64_t done = 0, running = 0;
-        hooks_.progress(id, done, running);
-        r.send(ok(200, wire::job_answer(id, running > 0 ? JobStatus::running : JobStatus::pending,
-                                        done, running)));
+        hooks_.progress(a.id, done, running);
+        a.respond(
+            ok(200, wire::job_answer(a.id, running > 0 ? JobStatus::running : JobStatus::pending,
+                                     done, running)));
     }
 }
 
-void Desk::submit(const net::Request& request, net::Responder responder) {
+void Desk::submit(const net::Request& request, Respond respond) {
     auto body = wire::decode_map(request.body);
     if (!body) {
-        responder.send(failure(400, "the body is no CBOR map"));
+        respond(failure(400, "the body is no CBOR map"));
         return;
     }
     std::string error;
     auto spec = wire::parse_job(*body, error);
     if (!spec) {
-        responder.send(failure(400, "missing or invalid: " + error));
+        respond(failure(400, "missing or invalid: " + error));
         return;
     }
     if (types_.empty()) {
-        responder.send(busy());  // what can run is not known yet
+        respond(busy());  // what can run is not known yet
         return;
     }
-    const std::string id = spec->id;
+    Asked a = asked(spec->id, kChangeWait, std::move(respond));
     std::string never = impossible(*spec, settings_, types_);
     if (!never.empty()) {
         // A job that was accepted before must not be turned away now.
         begin();
-        answers_.ask(id, kSubmitWait,
-                     [this, id, never, responder](Answers::Found found, const Told& told) {
-                         end();
-                         if (found == Answers::Found::told)
-                             answer_known(id, told, responder);
-                         else if (found == Answers::Found::missing)
-                             responder.send(failure(422, never));
-                         else
-                             responder.send(busy());
-                     });
+        answers_.ask(
+            a.id, left(a),
+            [this, a, never](Answers::Found found, const Told& told) {
+                end();
+                if (found == Answers::Found::told)
+                    answer_known(told, a);
+                else if (found == Answers::Found::missing)
+                    a.respond(failure(422, never));
+                else
+                    a.respond(busy());
+            },
+            hooks_.now());
         return;
     }
     // A repeated one costs no change.
-    if (answers_.knows(id)) return query(id, responder);
+    if (answers_.knows(a.id)) return query(std::move(a));
     state::Txn txn;
-    txn.conditions = {{job_key(id), 0}};
-    txn.writes = {{job_key(id), Json{{"final", nullptr}, {"tasks", spec->tasks}}},
-                  {open_key(id), open_record(*body, hooks_.wall_ms(), false)}};
+    txn.conditions = {{job_key(a.id), 0}};
+    txn.writes = {{job_key(a.id), Json{{"final", nullptr}, {"tasks", spec->tasks}}},
+                  {open_key(a.id), open_record(*body, hooks_.wall_ms(), false)}};
     std::size_t most = static_cast<std::size_t>(settings_.state_value_kb * 1024);
     if (request.body.size() * 2 > most && txn.writes[1].value->dump().size() > most) {
-        responder.send(failure(400, "the description is too long"));
+        a.respond(failure(400, "the description is too long"));
         return;
     }
-    begin();
-    Millis since = hooks_.now();
-    state_.commit(txn, state::Urgency::user, kSubmitWait,
-                  [this, id, since, responder](const state::CommitReply& r) {
-                      end();
-                      spdlog::debug("submission of {}: {}", id, state::name(r.outcome));
-                      if (r.outcome == state::Outcome::ok) {
-                          answer("submit", since, responder,
-                                 ok(201, wire::job_answer(id, JobStatus::pending)));
-                      } else if (r.outcome == state::Outcome::conflict) {
-                          query(id, responder);  // known already
-                      } else {
-                          answer("submit", since, responder, busy());
-                      }
-                  });
+    accept(txn, std::move(a));
 }
 
-void Desk::query(const std::string& id, net::Responder responder) {
+void Desk::accept(const state::Txn& txn, Asked a) {
     begin();
-    answers_.ask(id, kQueryWait, [this, id, responder](Answers::Found found, const Told& told) {
+    records_.commit(txn, left(a), [this, a](Millis, const state::CommitReply& r) {
         end();
-        if (found == Answers::Found::told)
-            answer_known(id, told, responder);
-        else if (found == Answers::Found::missing)
-            responder.send(failure(404, "no such job"));
+        spdlog::debug("submission of {}: {}", a.id, state::name(r.outcome));
+        if (r.outcome == state::Outcome::ok)
+            answer("submit", a, ok(201, wire::job_answer(a.id, JobStatus::pending)));
+        else if (r.outcome == state::Outcome::conflict)
+            query(a);  // known already
         else
-            responder.send(busy());
+            answer("submit", a, busy());
     });
 }
 
+void Desk::query(Asked a) {
+    begin();
+    const Millis wait = left(a);
+    answers_.ask(
+        a.id, wait,
+        [this, a](Answers::Found found, const Told& told) {
+            end();
+            if (found == Answers::Found::told)
+                answer_known(told, a);
+            else if (found == Answers::Found::missing)
+                a.respond(failure(404, "no such job"));
+            else
+                a.respond(busy());
+        },
+        hooks_.now());
+}
+
 // The wish goes into the open record; the leader stops the tasks and makes the job final when none
 // is left. Until then the answer is to ask again: what was told can then not be undone by anybody
 // who had not heard of it.
-void Desk::cancel(const std::string& id, int tries, net::Responder responder) {
-    if (tries == 0) {
-        responder.send(busy());
-        return;
-    }
+void Desk::cancel(Asked a) {
     begin();
-    answers_.ask(id, kQueryWait,
-                 [this, id, tries, responder](Answers::Found found, const Told& told) {
-                     end();
-                     if (found == Answers::Found::missing)
-                         responder.send(failure(404, "no such job"));
-                     else if (found == Answers::Found::unknown)
-                         responder.send(busy());
-                     else if (told.final)
-                         answer_known(id, told, responder);
-                     else
-                         read_open_for_cancel(id, tries, responder);
-                 });
+    const Millis wait = left(a);
+    answers_.ask(
+        a.id, wait,
+        [this, a](Answers::Found found, const Told& told) {
+            end();
+            if (found == Answers::Found::missing)
+                a.respond(failure(404, "no such job"));
+            else if (found == Answers::Found::told && told.final)
+                answer_known(told, a);
+            else if (found == Answers::Found::unknown || left(a) <= 0)
+                a.respond(busy());
+            else
+                read_open_for_cancel(a);
+        },
+        hooks_.now());
 }
 
-void Desk::read_open_for_cancel(const std::string& id, int tries, net::Responder responder) {
+void Desk::read_open_for_cancel(Asked a) {
     begin();
-    state_.get(open_key(id), state::Urgency::user, kQueryWait,
-               [this, id, tries, responder](const state::GetReply& open) {
-                   end();
-                   if (open.outcome == state::Outcome::missing)
-                       cancel(id, tries - 1, responder);  // it has just become final
-                   else if (open.outcome != state::Outcome::ok)
-                       responder.send(busy());
-                   else
-                       wish(id, open.item, tries, responder);
-               });
+    records_.get(open_key(a.id), left(a), [this, a](Millis, const state::GetReply& open) {
+        end();
+        if (open.outcome == state::Outcome::missing)
+            cancel(a);  // it has just become final
+        else if (open.outcome != state::Outcome::ok || left(a) <= 0)
+            a.respond(busy());
+        else
+            wish(open.item, a);
+    });
 }
 
-void Desk::wish(const std::string& id, const state::Item& open, int tries,
-                net::Responder responder) {
+void Desk::wish(const state::Item& open, Asked a) {
     if (wire::flag(open.value, "unwanted").value_or(false)) {
-        responder.send(busy());
+        a.respond(busy());
         return;
     }
     state::Txn txn;
-    txn.conditions = {{open_key(id), open.version}};
-    txn.writes = {{open_key(id), open.value}};
+    txn.conditions = {{open_key(a.id), open.version}};
+    txn.writes = {{open_key(a.id), open.value}};
     (*txn.writes[0].value)["unwanted"] = true;
     begin();
-    state_.commit(txn, state::Urgency::user, kQueryWait,
-                  [this, id, tries, responder](const state::CommitReply& r) {
-                      end();
-                      if (r.outcome == state::Outcome::conflict)
-                          cancel(id, tries - 1, responder);
-                      else if (r.outcome != state::Outcome::ok || awaited_ >= kMostAwaited)
-                          responder.send(busy());
-                      else
-                          await_end(id, r.revision, responder);
-                  });
+    records_.commit(txn, left(a), [this, a](Millis, const state::CommitReply& r) {
+        end();
+        if (r.outcome == state::Outcome::conflict)
+            cancel(a);
+        else if (r.outcome != state::Outcome::ok || awaited_ >= kMostAwaited || left(a) <= 0)
+            a.respond(busy());
+        else
+            await_end(r.revision, a);
+    });
 }
 
 // Mostly it takes some messages only.
-void Desk::await_end(const std::string& id, std::uint64_t revision, net::Responder responder) {
+void Desk::await_end(std::uint64_t revision, Asked a) {
     ++awaited_;
-    state_.watch(
-        job_key(id), revision, kEndWait,
-        [this, id, responder](state::ListReply r) {
-            --awaited_;
-            for (const state::Item& i : r.items) {
-                if (i.deleted || i.key != job_key(id)) continue;
-                if (auto told = read_told(i.value, i.version)) {
-                    answer_known(id, *told, responder);
-                    return;
-                }
-            }
-            responder.send(busy());
-        },
-        kEndWait);
+    records_.watch(job_key(a.id), revision, std::min(kEndWait, left(a)),
+                   [this, a](Millis, const state::ListReply& r) {
+                       --awaited_;
+                       for (const state::Item& i : r.items) {
+                           if (i.deleted || i.key != job_key(a.id)) continue;
+                           const auto told = read_told(i.value, i.version);
+                           if (told && told->final) return answer_known(*told, a);
+                       }
+                       a.respond(busy());
+                   });
 }
 
 }  // namespace nickelramp::jobs
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-#include "jobs/confirmed.h"
+#include "jobs/answers.h"
 #include "jobs/job.h"
+#include "jobs/records.h"
 #include "net/http_server.h"
 #include "serving/serving.h"
-#include "state/client.h"
 #include "wire/messages.h"
 #include "wire/settings.h"
 
@@ -30,7 +30,8 @@
         std::function<bool(const std::string& id, std::uint64_t& done, std::uint64_t& running)>
             progress;
     };
-    Desk(const wire::Settings& settings, state::Client& state, Confirmed& answers, Hooks hooks);
+    using Respond = std::function<void(const net::Response&)>;  // to be called once
+    Desk(const wire::Settings& settings, Records& records, Answers& answers, Hooks hooks);
 
     void set_types(const std::vector<wire::MachineType>& types) { types_ = types; }
     bool has_types() const { return !types_.empty(); }
@@ -39,27 +40,35 @@
     serving::Waiting waiting() const { return {open_, idle_until_}; }
 
     // Takes the request if its path is the desk's.
-    bool handle(const net::Request& request, const net::Responder& responder);
+    bool handle(const net::Request& request, Respond respond);
 
   private:
-    void submit(const net::Request& request, net::Responder responder);
-    void query(const std::string& id, net::Responder responder);
-    void cancel(const std::string& id, int tries, net::Responder responder);
-    void read_open_for_cancel(const std::string& id, int tries, net::Responder responder);
-    void wish(const std::string& id, const state::Item& open, int tries, net::Responder responder);
-    void await_end(const std::string& id, std::uint64_t revision, net::Responder responder);
-    // Sends and counts. `since`: when the request came.
-    void answer(const char* request, Millis since, const net::Responder& responder,
-                const net::Response& response);
-    void answer_known(const std::string& id, const Told& told, const net::Responder& r);
+    // A request on its way. However many steps it takes, their waits end with its user's.
+    struct Asked {
+        std::string id;
+        Millis since, until;
+        Respond respond;
+    };
+    void submit(const net::Request& request, Respond respond);
+    void accept(const state::Txn& txn, Asked a);
+    void query(Asked a);
+    void cancel(Asked a);
+    void read_open_for_cancel(Asked a);
+    void wish(const state::Item& open, Asked a);
+    void await_end(std::uint64_t revision, Asked a);
+    // Sends and counts.
+    void answer(const char* request, const Asked& a, const net::Response& response);
+    void answer_known(const Told& told, const Asked& a);
+    Asked asked(const std::string& id, Millis wait, Respond respond) const;
+    Millis left(const Asked& a) const { return a.until - hooks_.now(); }
+    void begin();
+    void end();
 
     const wire::Settings& settings_;
-    state::Client& state_;
-    Confirmed& answers_;
+    Records& records_;
+    Answers& answers_;
     Hooks hooks_;
     std::vector<wire::MachineType> types_;
-    void begin();
-    void end();
     std::size_t open_ = 0;     // requests waiting for the state service
     Millis idle_until_ = 0;    // none waited then
     std::size_t awaited_ = 0;  // cancellations that may be over at once
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -38,6 +38,7 @@
     Responder() = default;
     explicit Responder(std::weak_ptr<Connection> c) : connection_(std::move(c)) {}
     void send(const Response& response) const;
+    void operator()(const Response& response) const { send(response); }
 
   private:
     std::weak_ptr<Connection> connection_;
