--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <set>
 
 #include "jobs/need.h"
 
@@ -33,17 +34,25 @@
     auto team = std::find_if(settings.teams.begin(), settings.teams.end(),
                              [&](const wire::Team& t) { return t.name == spec.team; });
     if (team == settings.teams.end()) return "unknown team";
-    bool fits = std::any_of(types.begin(), types.end(), [&](const wire::MachineType& t) {
+    bool fits = false;
+    std::set<std::string> zones;
+    for (const wire::MachineType& t : types) {
         if (!spec.any_type &&
             std::find(spec.types.begin(), spec.types.end(), t.name) == spec.types.end()) {
-            return false;
+            continue;
         }
-        if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end()) {
-            return false;
-        }
-        return covers(t.cpus, t.gpus, t.memory_gb, {spec.cpus, spec.gpus, spec.memory_gb});
-    });
+        if (spec.zone && std::find(t.zones.begin(), t.zones.end(), *spec.zone) == t.zones.end())
+            continue;
+        if (!covers(t.cpus, t.gpus, t.memory_gb, {spec.cpus, spec.gpus, spec.memory_gb})) continue;
+        fits = true;
+        zones.insert(t.zones.begin(), t.zones.end());
+    }
     if (!fits) return "a task fits no allowed machine type";
+    // Of an array or a service half can run, one after the other or for good; of a gang nothing
+    // can.
+    const bool in_one_zone = spec.one_zone || spec.zone || zones.size() < 2;
+    if (spec.shape == wire::Shape::gang && spec.spread && spec.tasks > 1 && in_one_zone)
+        return "scattered over zones, of which it is allowed one";
     double tasks = spec.shape == wire::Shape::array ? 1.0 : spec.tasks;
     if ((team->cpus_max > 0 && spec.cpus * tasks > team->cpus_max + kSlack) ||
         (team->gpus_max > 0 && spec.gpus * tasks > team->gpus_max + kSlack)) {
@@ -125,6 +134,12 @@
         respond(failure(400, "missing or invalid: " + error));
         return;
     }
+    Json open = open_record(*body, hooks_.wall_ms(), false);
+    const auto size = wire::json_size(open);
+    if (!size || static_cast<double>(*size) > settings_.state_value_kb * 1024) {
+        respond(failure(400, size ? "the description is too long" : "text is to be UTF-8"));
+        return;
+    }
     if (types_.empty()) {
         respond(busy());  // what can run is not known yet
         return;
@@ -153,12 +168,7 @@
     state::Txn txn;
     txn.conditions = {{job_key(a.id), 0}};
     txn.writes = {{job_key(a.id), Json{{"final", nullptr}, {"tasks", spec->tasks}}},
-                  {open_key(a.id), open_record(*body, hooks_.wall_ms(), false)}};
-    std::size_t most = static_cast<std::size_t>(settings_.state_value_kb * 1024);
-    if (request.body.size() * 2 > most && txn.writes[1].value->dump().size() > most) {
-        a.respond(failure(400, "the description is too long"));
-        return;
-    }
+                  {open_key(a.id), std::move(open)}};
     accept(txn, std::move(a));
 }
 
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -1,5 +1,7 @@
 #include "wire/cbor.h"
 
+#include <algorithm>
+
 namespace nickelramp::wire {
 
 namespace {
@@ -25,6 +27,12 @@
     }
 };
 constexpr std::size_t kShallow = 2048;  // too short to nest dangerously
+
+bool has_binary(const Json& v) {
+    return v.is_binary() ||
+           (v.is_structured() &&
+            std::any_of(v.begin(), v.end(), [](const Json& part) { return has_binary(part); }));
+}
 }  // namespace
 
 std::string encode(const Json& value) {
@@ -48,6 +56,15 @@
     return std::nullopt;
 }
 
+std::optional<std::size_t> json_size(const Json& value) {
+    if (has_binary(value)) return std::nullopt;
+    try {
+        return value.dump().size();
+    } catch (const Json::type_error&) {
+        return std::nullopt;
+    }
+}
+
 const Json* field(const Json& map, const char* name) {
     if (!map.is_object()) return nullptr;
     auto it = map.find(name);
--- a/src/wire/cbor.h
+++ b/src/wire/cbor.h
@@ -12,6 +12,9 @@
 std::string encode(const Json& value);
 // Nothing for bodies that are not CBOR, nest too deeply, or are no map.
 std::optional<Json> decode_map(const std::string& body);
+// Its size as JSON, in which limits are counted. Nothing for what JSON does not know: binary data,
+// and text that is not UTF-8.
+std::optional<std::size_t> json_size(const Json& value);
 
 // Fields of messages. Absent and null read the same.
 const Json* field(const Json& map, const char* name);
--- a/tests/users_test.cpp
+++ b/tests/users_test.cpp
@@ -268,4 +268,123 @@
     }
 }
 
+TEST(Users, OddRequestsAreRefusedAndLeaveNothing) {
+    Store store;
+    Controller c(store);
+    c.settings.teams.push_back({"green", 0, 3, 0, 2});
+    const std::vector<wire::MachineType> types{kRoomy, {"h8", 64, 8, 256, 50, 1, 10, 4, 10, {"a"}}};
+    std::string error;
+    auto send = [&](const char* method, const std::string& path, const std::string& body = "") {
+        net::Response got{0, "", 0};
+        c.desk.handle({method, path, "", body}, [&](const net::Response& r) { got = r; });
+        store.run_until(store.now + 2'000);
+        error = wire::text(*wire::decode_map(got.body), "error").value_or("");
+        return got.status;
+    };
+    const Json many = std::string(201, 'x'), none = nullptr, list = Json::array({1});
+    const std::string long_id = "job-" + std::string(40, '1');
+    struct Bad {
+        std::vector<std::string> fields;
+        std::vector<Json> values;
+        bool optional = false;
+    };
+    const Bad bad[] = {
+        {{"id"}, {none, 5, "", "job-", "job-1a", "job--1", "job-1 ", "JOB-1", "x-1", long_id}},
+        {{"jobclass", "crew", "shape", "urgency", "bundle"}, {none, 5, "", true, list, many}},
+        {{"legs"}, {none, 0, -1, 1.5, 2.0, 100'001, 1ull << 63, INT64_MIN, "3", NAN}},
+        {{"cores", "cards", "mem_gb", "pull_gb", "guess_s", "save_every_s", "save_cost_s"},
+         {none, "1", -1, -0.5, NAN, INFINITY, 1e10, true, list}},
+        {{"one_zone", "scatter", "standby"}, {none, 0, "no"}},
+        {{"due_s"}, {"soon", -1, NAN, true}, true},
+        {{"rigs"}, {"g4", 3, list, Json::object()}, true},
+        {{"yard"}, {4, "", list}, true},
+    };
+    // By shape: sweep, ensemble, standing.
+    struct Case {
+        Json change;
+        std::array<int, 3> status;
+    };
+    const std::array<int, 3> taken{201, 201, 201}, never{422, 422, 422}, no_gang{201, 422, 201};
+    const Case cases[] = {
+        {{}, taken},
+        {{{"due_s", 0}, {"guess_s", 0}, {"cards", 0}, {"save_every_s", 0}}, taken},
+        {{{"crew", "nobody"}}, never},
+        {{{"rigs", Json::array()}}, never},
+        {{{"rigs", {"g9"}}}, never},
+        {{{"yard", "c"}}, never},
+        {{{"cores", 17}, {"yard", "b"}}, never},  // the one that fits is elsewhere
+        {{{"rigs", {"h8"}}, {"yard", "b"}}, never},
+        {{{"rigs", {"g4"}}, {"cards", 5}}, never},
+        {{{"mem_gb", 257}}, never},
+        {{{"crew", "green"}, {"cores", 1}}, {201, 422, 422}},  // three cards, two allowed
+        {{{"crew", "green"}, {"cores", 4}}, never},
+        {{{"crew", "green"}, {"cores", 1}, {"legs", 2}}, taken},
+        {{{"scatter", true}}, taken},
+        {{{"scatter", true}, {"one_zone", true}}, no_gang},
+        {{{"scatter", true}, {"yard", "a"}}, no_gang},
+        {{{"scatter", true}, {"rigs", {"h8"}}}, no_gang},
+        {{{"scatter", true}, {"one_zone", true}, {"yard", "a"}, {"legs", 1}}, taken},
+    };
+    int n = 0;
+    const char* shapes[] = {"sweep", "ensemble", "standing"};
+    for (std::size_t s = 0; s < 3; ++s) {
+        c.desk.set_types(types);
+        for (const Bad& kind : bad) {
+            for (const std::string& field : kind.fields) {
+                Json body = test::job("job-" + std::to_string(++n), shapes[s], 3, 1);
+                Json without = body;
+                without.erase(field);
+                EXPECT_EQ(send("POST", "/work", wire::encode(without)), kind.optional ? 201 : 400);
+                for (const Json& v : kind.values) {
+                    body["id"] = "job-" + std::to_string(++n);
+                    body[field] = v;
+                    const std::size_t before = store.log.size();
+                    EXPECT_EQ(send("POST", "/work", wire::encode(body)), 400) << field << v;
+                    EXPECT_EQ(error, "missing or invalid: " + field);
+                    EXPECT_EQ(store.log.size(), before);
+                }
+            }
+        }
+        for (const Case& k : cases) {
+            Json body = test::job("job-" + std::to_string(++n), shapes[s], 3, 1);
+            const std::string id = body["id"], at = "/work/" + id;
+            if (!k.change.is_null()) body.update(k.change);
+            const std::string sent = wire::encode(body);
+            c.desk.set_types(types);
+            EXPECT_EQ(send("POST", "/work", sent), k.status[s]) << k.change << shapes[s];
+            EXPECT_EQ(store.keys.count("open/" + id), k.status[s] == 201);
+            EXPECT_EQ(send("GET", at), k.status[s] == 201 ? 200 : 404);
+            if (k.status[s] != 201) continue;
+            c.desk.set_types({kTiny});
+            EXPECT_EQ(send("POST", "/work", sent), 200);
+            store.put(id, "done");
+            EXPECT_EQ(send("POST", at + "/abort"), 200);
+            EXPECT_EQ(store.keys["open/" + id].first.count("unwanted"), 0u);
+        }
+    }
+    // The process once ended at a long description with text that is not UTF-8.
+    c.desk.set_types(types);
+    auto with = [](const Json& more) {
+        Json body = test::job("job-1", "sweep", 3, 1);
+        body.update(more);
+        return wire::encode(body);
+    };
+    const std::string long_text(5'000, '\xff');
+    const std::size_t before = store.log.size();
+    for (const std::string& b :
+         {std::string(), std::string("job"), wire::encode(list), std::string(60'000, '\x81'),
+          with({{"later", long_text}}), with({{"bundle", "\xff"}}), with({{long_text, 1}}),
+          with({{"later", Json::binary({1, 2})}}), with({{"later", std::string(9'000, 'x')}}),
+          with({{"later", std::string(2'000, '\1')}})}) {
+        EXPECT_EQ(send("POST", "/work", b), 400);
+    }
+    EXPECT_EQ(send("POST", "/work/job-777777/abort"), 404);
+    EXPECT_EQ(send("GET", "/work/job-777777"), 404);
+    for (const char* id : {"job-", "job-x", "-1", "job-1%20", "x"}) {
+        EXPECT_EQ(send("GET", std::string("/work/") + id), 400);
+        EXPECT_EQ(send("POST", std::string("/work/") + id + "/abort"), 400);
+    }
+    EXPECT_EQ(store.log.size(), before);
+}
+
 }  // namespace
