--- a/src/jobs/desk.cpp
+++ b/src/jobs/desk.cpp
@@ -124,8 +124,8 @@
 
 void Desk::submit(const net::Request& request, Respond respond) {
     auto body = wire::decode_map(request.body);
-    if (!body) {
-        respond(failure(400, "the body is no CBOR map"));
+    if (!body || !wire::plain(*body)) {
+        respond(failure(400, "the body is no CBOR map of plain values"));
         return;
     }
     std::string error;
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -27,12 +27,6 @@
     }
 };
 constexpr std::size_t kShallow = 2048;  // too short to nest dangerously
-
-bool has_binary(const Json& v) {
-    return v.is_binary() ||
-           (v.is_structured() &&
-            std::any_of(v.begin(), v.end(), [](const Json& part) { return has_binary(part); }));
-}
 }  // namespace
 
 std::string encode(const Json& value) {
@@ -56,8 +50,14 @@
     return std::nullopt;
 }
 
+bool plain(const Json& v) {
+    if (v.is_structured()) return std::all_of(v.begin(), v.end(), plain);
+    const bool wrapped =
+        v.is_number_integer() && !v.is_number_unsigned() && v.get<std::int64_t>() >= 0;
+    return !v.is_binary() && !wrapped;
+}
+
 std::optional<std::size_t> json_size(const Json& value) {
-    if (has_binary(value)) return std::nullopt;
     try {
         return value.dump().size();
     } catch (const Json::type_error&) {
--- a/src/wire/cbor.h
+++ b/src/wire/cbor.h
@@ -12,8 +12,9 @@
 std::string encode(const Json& value);
 // Nothing for bodies that are not CBOR, nest too deeply, or are no map.
 std::optional<Json> decode_map(const std::string& body);
-// Its size as JSON, in which limits are counted. Nothing for what JSON does not know: binary data,
-// and text that is not UTF-8.
+// No binary data, and no integer below -2^63 in what was decoded: the reader wraps those.
+bool plain(const Json& decoded);
+// Its size as JSON, in which limits are counted; nothing if some text is not UTF-8.
 std::optional<std::size_t> json_size(const Json& value);
 
 // Fields of messages. Absent and null read the same.
