--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -322,17 +322,18 @@
                 return 400, {"error": "no such lease"}
         if writes:
             self.epoch += 1
+        epoch = self.epoch
         for w in writes:
             key = w.get("set") or w["drop"]
             if "set" in w:
-                self.keys[key] = (w.get("v"), self.epoch, w.get("permit") or 0)
+                self.keys[key] = (w.get("v"), epoch, w.get("permit") or 0)
             else:
                 self.keys.pop(key, None)
             self.note(key)
         if writes:
             async with self.changed:
                 self.changed.notify_all()
-        return 200, {"epoch": self.epoch}
+        return 200, {"epoch": epoch}
 
     def news(self, prefix, since):
         out, seen = [], set()
