--- a/review/1/case.py
+++ b/review/1/case.py
@@ -19,11 +19,12 @@
     return job_body(number, jobclass="archive-retime", crew="glitch-hunters", cores=0.25, mem_gb=1.8, guess_s=4.0)
 
 
-def nested(depth):
-    value = 1
-    for _ in range(depth):
-        value = [value]
-    return value
+def lineage(steps):
+    """Where the input of a job comes from: each step names the one before it."""
+    step = None
+    for n in range(steps):
+        step = {"step": "clip-%02d" % n, "digest": "%064x" % (n * 2654435761), "from": step}
+    return step
 
 
 async def case(trouble):
@@ -47,7 +48,7 @@
     # The disruption: a submission with a field that the page does not name. Everything else is the same without it.
     odd = array(3)
     if trouble:
-        odd["labels"] = {"origin": nested(28), "note": "x" * 3000}
+        odd["lineage"] = lineage(29)
     accepted = {}
     for number, body in ((3, odd),) + tuple((n, array(n)) for n in range(4, 9)):
         status = await w.submit(body, 1.0, [w.nodes[number % 3]])
