--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,7 +12,10 @@
 
 
 async def case(trouble):
-    w = await world(HERE, tsba_facts(), tsba_types())
+    # The figures of tsba-ramp-hunt, with three controllers in one zone.
+    facts = tsba_facts(workers={"report_s": 8.0, "lease_s": 45.0, "gang_wait_s": 35.0, "gang_peer_s": 4.0, "cancel_s": 65.0},
+                       limits={"cpu": 0.216, "mem_mb": 188.0, "fd_limit": 3642})
+    w = await world(HERE, facts, tsba_types())
     w.capacity = lambda rig, zone, spot: 0 if spot else MACHINES - len(w.machines)
     w.boot_s = lambda: 1.5      # all are up at once, "within a second or two"
     lost = []
