Log replies of the state service that cannot be read

A reply that violates the protocol was handled like one that did not come: the call was repeated and nothing said why.

Each such reply is now logged with its target, status and length, at most once every 5 s.

--- a/src/kvstore/client.cpp
+++ b/src/kvstore/client.cpp
@@ -1,5 +1,7 @@
 #include "kvstore/client.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -16,6 +18,7 @@
 constexpr Millis kLeaseTimeout = 2000;
 constexpr std::size_t kListPage = 500;
 constexpr Millis kPingTimeout = 1'000;
+constexpr Millis kUnexpectedReplyLogInterval = 5'000;
 constexpr const char* kPingKey = "lead/term";
 }  // namespace
 
@@ -35,8 +38,11 @@
 
 void Client::get(const std::string& key, RequestClass request_class, Millis timeout, GetDone done) {
     QueuedRequest request{"GET", get_target(key), "", 0, timeout, {}, {}};
-    request.on_reply = [done = std::move(done)](const net::ClientReply& reply) {
-        done(parse_get_reply(reply));
+    request.on_reply = [this, target = request.target,
+                        done = std::move(done)](const net::ClientReply& reply) {
+        const GetReply parsed = parse_get_reply(reply);
+        log_if_unexpected(parsed.status, target, reply);
+        done(parsed);
     };
     queue_.submit(request_class, std::move(request));
 }
@@ -63,8 +69,11 @@
 void Client::list_page(const std::string& prefix, const std::string& after, std::size_t limit,
                        RequestClass request_class, ListDone done) {
     QueuedRequest request{"GET", list_target(prefix, after, limit), "", 0, kListTimeout, {}, {}};
-    request.on_reply = [done = std::move(done)](const net::ClientReply& reply) {
-        done(parse_list_reply(reply));
+    request.on_reply = [this, target = request.target,
+                        done = std::move(done)](const net::ClientReply& reply) {
+        ListReply parsed = parse_list_reply(reply);
+        log_if_unexpected(parsed.status, target, reply);
+        done(std::move(parsed));
     };
     queue_.submit(request_class, std::move(request));
 }
@@ -77,8 +86,11 @@
     request.body = encode_transaction(transaction);
     request.writes = static_cast<double>(transaction.writes.size());
     request.timeout = timeout;
-    request.on_reply = [done = std::move(done)](const net::ClientReply& reply) {
-        done(parse_commit_reply(reply));
+    request.on_reply = [this, target = request.target,
+                        done = std::move(done)](const net::ClientReply& reply) {
+        const CommitReply parsed = parse_commit_reply(reply);
+        log_if_unexpected(parsed.status, target, reply);
+        done(parsed);
     };
     request.may_send = std::move(may_send);
     queue_.submit(request_class, std::move(request));
@@ -87,21 +99,36 @@
 void Client::changes_since(const std::string& prefix, std::uint64_t after,
                            RequestClass request_class, Millis timeout, ListDone done) {
     QueuedRequest request{"GET", watch_target(prefix, after, 0), "", 0, timeout, {}, {}};
-    request.on_reply = [done = std::move(done)](const net::ClientReply& reply) {
-        done(parse_changes_reply(reply));
-    };
+    request.on_reply = [this, target = request.target, done = std::move(done)](
+                           const net::ClientReply& reply) { finish_changes(target, reply, done); };
     queue_.submit(request_class, std::move(request));
 }
 
 void Client::watch(const std::string& prefix, std::uint64_t after, Millis wait, ListDone done,
                    Millis grace) {
-    watch_http_.request("GET", watch_target(prefix, after, wait), "", wait + grace,
-                        [this, done = std::move(done)](const net::ClientReply& reply) {
+    const std::string target = watch_target(prefix, after, wait);
+    watch_http_.request("GET", target, "", wait + grace,
+                        [this, target, done = std::move(done)](const net::ClientReply& reply) {
                             health_.on_watch_reply(reply, now());
-                            done(parse_changes_reply(reply));
+                            finish_changes(target, reply, done);
                         });
 }
 
+void Client::finish_changes(const std::string& target, const net::ClientReply& reply,
+                            const ListDone& done) {
+    ListReply parsed = parse_changes_reply(reply);
+    log_if_unexpected(parsed.status, target, reply);
+    done(std::move(parsed));
+}
+
+void Client::log_if_unexpected(Status status, const std::string& target,
+                               const net::ClientReply& reply) {
+    if (status != Status::protocol_error || now() < may_log_unexpected_at_) return;
+    may_log_unexpected_at_ = now() + kUnexpectedReplyLogInterval;
+    spdlog::error("state service: reply cannot be read: target={} status={} bytes={}", target,
+                  reply.status, reply.body.size());
+}
+
 void Client::send_lease_request(const char* method, const std::string& target, std::string body,
                                 Millis timeout, net::HttpClient::Done done) {
     health_.on_request_sent(now());
--- a/src/kvstore/client.h
+++ b/src/kvstore/client.h
@@ -75,6 +75,10 @@
   private:
     void fetch_next_page(std::shared_ptr<ListReply> collected, const std::string& prefix,
                          const std::string& after, RequestClass request_class, ListDone done);
+    void finish_changes(const std::string& target, const net::ClientReply& reply,
+                        const ListDone& done);
+    // Logs a reply that violates the protocol, but not more often than every few seconds.
+    void log_if_unexpected(Status status, const std::string& target, const net::ClientReply& reply);
     void send_lease_request(const char* method, const std::string& target, std::string body,
                             Millis timeout, net::HttpClient::Done done);
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
@@ -84,6 +88,7 @@
     RequestQueue queue_;
     net::HttpClient lease_http_;
     net::HttpClient watch_http_;
+    Millis may_log_unexpected_at_ = 0;
 };
 
 }  // namespace nickelramp::kvstore
