Read back whatever was accepted: replies may nest deeper than requests

Cause: decode_map refused bodies over 2,048 bytes that are nested more than 32 levels deep, in requests and in replies of the state service alike. A submission is stored whole and comes back four levels deeper (reply, list, item, record), so one of 29 to 32 levels, or of any depth in up to 2,048 bytes, made all replies with its record unreadable: the leader's watch of open/ was repeated from the same revision for ever, and so were the list at the start of a term and that of the clean-up.

Change: the limits are kMaxRequestDepth (2,048) for requests, whatever their size, and 16 more for replies and transactions. The emulated state service takes such transactions, too.

--- a/emulator/state_service_emulator.cpp
+++ b/emulator/state_service_emulator.cpp
@@ -226,7 +226,7 @@
 
 void StateServiceEmulator::route(const net::Request& q, const net::Responder& r) {
     if (q.path == "/commit") {
-        const auto body = wire::decode_map(q.body);
+        const auto body = wire::decode_map(q.body, wire::kMaxReplyDepth);
         return body ? commit(*body, r) : reply(r, 400, Json::object());
     }
     if (q.path.rfind("/holds", 0) == 0) return handle_leases(q, r);
--- a/src/cloud/cloud_client.cpp
+++ b/src/cloud/cloud_client.cpp
@@ -20,7 +20,7 @@
     using Outcome = net::ClientReply::Outcome;
     if (reply.outcome == Outcome::refused) return {Result::not_sent, {}};
     if (reply.outcome != Outcome::answered) return {Result::unknown, {}};
-    const auto body = wire::decode_map(reply.body);
+    const auto body = wire::decode_reply_map(reply.body);
     if (reply.status == kStatusOk) {
         auto names = body ? wire::decode_provision_reply(*body) : std::nullopt;
         if (names) return {Result::provisioned, std::move(*names)};
@@ -101,7 +101,7 @@
 void CloudClient::list_machine_types(MachineTypesDone done) {
     submit(list_queue_,
            {"GET", "/machine_types", "", [done = std::move(done)](const net::ClientReply& reply) {
-                auto body = reply.ok() ? wire::decode_map(reply.body) : std::nullopt;
+                auto body = reply.ok() ? wire::decode_reply_map(reply.body) : std::nullopt;
                 done(body ? wire::decode_machine_types(*body) : std::nullopt);
             }});
 }
@@ -116,7 +116,7 @@
     if (!after.empty()) target += "&from=" + after;
     auto on_reply = [this, instances = std::move(instances),
                      done = std::move(done)](const net::ClientReply& reply) {
-        auto body = reply.ok() ? wire::decode_map(reply.body) : std::nullopt;
+        auto body = reply.ok() ? wire::decode_reply_map(reply.body) : std::nullopt;
         auto page = body ? wire::decode_instance_page(*body) : std::nullopt;
         if (!page) {
             done(std::nullopt);
--- a/src/controller/worker_connections.cpp
+++ b/src/controller/worker_connections.cpp
@@ -36,7 +36,7 @@
     }
     const bool answered = reply.outcome == net::ClientReply::Outcome::answered;
     if (!answered || (reply.status != kOk && reply.status != kConflict)) return command_reply;
-    const auto body = wire::decode_map(reply.body);
+    const auto body = wire::decode_reply_map(reply.body);
     command_reply.heartbeat = body ? wire::decode_heartbeat(*body) : std::nullopt;
     if (command_reply.heartbeat) command_reply.delivery = cluster::DeliveryStatus::delivered;
     command_reply.executed = reply.status == kOk;
--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -138,7 +138,7 @@
     // Otherwise prints the error, sets the exit code and returns nothing.
     std::optional<Json> read(const ControllerReply& a) {
         if (!check_reply(a)) return std::nullopt;
-        if (auto map = wire::decode_map(a.body)) return map;
+        if (auto map = wire::decode_reply_map(a.body)) return map;
         Json body = Json::parse(a.body, nullptr, false);
         if (body.is_object()) return body;
         err_ << "the answer cannot be read\n";
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -160,7 +160,7 @@
 
 std::string error_text(int status, const std::string& body) {
     Json answer = Json::parse(body, nullptr, false);
-    if (!answer.is_object()) answer = wire::decode_map(body).value_or(Json::object());
+    if (!answer.is_object()) answer = wire::decode_reply_map(body).value_or(Json::object());
     std::string out = fmt::format("the service says {}", status);
     if (wire::field(answer, "error") != nullptr) out += ": " + cell(answer, "error");
     for (const char* name : {"field", "least", "most"}) {
--- a/src/kvstore/protocol.cpp
+++ b/src/kvstore/protocol.cpp
@@ -107,7 +107,7 @@
     GetReply parsed;
     parsed.status = status_of(reply);
     if (parsed.status != Status::ok) return parsed;
-    if (auto body = wire::decode_map(reply.body)) parsed.entry = parse_entry(*body);
+    if (auto body = wire::decode_reply_map(reply.body)) parsed.entry = parse_entry(*body);
     if (parsed.entry.key.empty()) parsed.status = Status::protocol_error;
     return parsed;
 }
@@ -116,7 +116,7 @@
     ListReply parsed;
     parsed.status = status_of(reply);
     if (parsed.status != Status::ok) return parsed;
-    const auto body = wire::decode_map(reply.body);
+    const auto body = wire::decode_reply_map(reply.body);
     if (!body) {
         parsed.status = Status::protocol_error;
         return parsed;
@@ -131,7 +131,7 @@
     ListReply parsed;
     parsed.status = status_of(reply);
     if (parsed.status != Status::ok) return parsed;
-    const auto body = wire::decode_map(reply.body);
+    const auto body = wire::decode_reply_map(reply.body);
     const auto revision = body ? wire::count_field(*body, "epoch") : std::nullopt;
     if (!revision || !parse_entries(*body, "news", parsed.entries))
         parsed.status = Status::protocol_error;
@@ -143,7 +143,7 @@
 CommitReply parse_commit_reply(const net::ClientReply& reply) {
     CommitReply parsed;
     parsed.status = status_of(reply);
-    const auto body = reply.body.empty() ? std::nullopt : wire::decode_map(reply.body);
+    const auto body = reply.body.empty() ? std::nullopt : wire::decode_reply_map(reply.body);
     if (body) {
         parsed.revision = wire::count_field(*body, "epoch").value_or(0);
         parsed.failed_conditions = parse_failed_conditions(*body);
@@ -158,7 +158,7 @@
     LeaseReply parsed;
     parsed.status = status_of(reply);
     if (parsed.status != Status::ok) return parsed;
-    const auto body = wire::decode_map(reply.body);
+    const auto body = wire::decode_reply_map(reply.body);
     const auto lease_id = body ? wire::count_field(*body, "permit") : std::nullopt;
     parsed.lease_id = lease_id.value_or(0);
     return parsed;
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -5,16 +5,17 @@
 namespace nickelramp::wire {
 
 namespace {
-constexpr int kMaxDepth = 32;
-// Bodies up to this size cannot nest deeply enough to overflow the stack and are not checked.
-constexpr std::size_t kMaxUncheckedBytes = 2048;
-
 // Rejects bodies that are nested too deeply. The library's reader recurses once per level, so a
 // body that consists of opening brackets only would overflow the stack and crash the process.
 struct DepthCheck : nlohmann::json_sax<Json> {
-    int depth = 0;
-    bool enter() { return ++depth <= kMaxDepth; }
-    bool leave() { return --depth >= 0; }
+    explicit DepthCheck(std::size_t limit) : max_depth(limit) {}
+    const std::size_t max_depth;
+    std::size_t depth = 0;
+    bool enter() { return ++depth <= max_depth; }
+    bool leave() {
+        --depth;
+        return true;
+    }
     bool null() override { return true; }
     bool boolean(bool) override { return true; }
     bool number_integer(number_integer_t) override { return true; }
@@ -39,9 +40,10 @@
     return out;
 }
 
-std::optional<Json> decode_map(const std::string& body) {
-    if (body.size() > kMaxUncheckedBytes) {
-        DepthCheck check;
+std::optional<Json> decode_map(const std::string& body, std::size_t max_depth) {
+    // Each level takes a byte at least, so a body of `max_depth` bytes needs no check.
+    if (body.size() > max_depth) {
+        DepthCheck check(max_depth);
         if (!Json::sax_parse(body, &check, Json::input_format_t::cbor)) return std::nullopt;
     }
     // The library throws if a length in the body exceeds the available memory, even with exceptions
--- a/src/wire/cbor.h
+++ b/src/wire/cbor.h
@@ -16,9 +16,21 @@
 /// Returns the value encoded as CBOR.
 std::string encode(const Json& value);
 
+/// Limit for the nesting of maps and lists in a request of a user or worker. It bounds the stack of
+/// the library's reader, which is recursive.
+inline constexpr std::size_t kMaxRequestDepth = 2048;
+/// Limit for the nesting in all other bodies: replies, and transactions. They may contain what a
+/// request contained, inside the maps and lists of a record and of the reply around it. Whatever
+/// was accepted in a request must be readable there.
+inline constexpr std::size_t kMaxReplyDepth = kMaxRequestDepth + 16;
+
 /// Decodes a CBOR body that holds a map. Returns std::nullopt if the body is not valid CBOR, is
-/// nested too deeply, has trailing bytes or does not hold a map.
-std::optional<Json> decode_map(const std::string& body);
+/// nested more than `max_depth` levels deep, has trailing bytes or does not hold a map.
+std::optional<Json> decode_map(const std::string& body, std::size_t max_depth = kMaxRequestDepth);
+/// Like `decode_map`, for the body of a reply.
+inline std::optional<Json> decode_reply_map(const std::string& body) {
+    return decode_map(body, kMaxReplyDepth);
+}
 
 /// Returns whether JSON can represent a decoded value. This is not the case if it contains binary
 /// data, or contained an integer below -2^63, which the library wraps to a positive one.
