List the open jobs when the reply to their watch cannot be read

PROTOCOL says of watch replies that each "holds all changes and has no size limit"; the HTTP client ends a reply at 8 MiB, its outcome was "unknown" like that of a time-out, and the watch was repeated from the same revision, where the reply only grows. Until the state service has discarded the changes, the leader learns of no new job and of no cancellation. It takes 300 records of 30 KB within one watch; only the known fields being stored now, that is unlikely, but a list of 1,000 machine types can still be that long.

Change: the client tells a body over the limit from a missing reply (Outcome::too_long; a transaction of that outcome stays unknown). For lists and watches it is a protocol error, and OpenJobWatcher answers any protocol error of its watch by listing the open jobs, in pages of at most 512 KiB. The emulated state service keeps to that size of a page, which it had estimated at 400 bytes an item.

Seen failing before, on the untouched sources: OpenJobsOnLoopback.ManyLongRecordsAreListedWhenTheWatchReplyIsTooLong (no job is known after 20 s, no cancellation is confirmed).

--- a/emulator/state_service_emulator.cpp
+++ b/emulator/state_service_emulator.cpp
@@ -13,7 +13,6 @@
 namespace {
 constexpr std::size_t kMaxRetainedChanges = 10'000, kMaxItems = 1'000,
                       kMaxListed = std::size_t{512} * 1024;  // bytes
-constexpr std::size_t kItemBytes = 400;                      // estimated size of a listed item
 constexpr Millis kMaintenanceInterval = 20, kMaxWatch = 60'000;
 constexpr double kMillisPerSecond = 1'000;
 }  // namespace
@@ -198,14 +197,17 @@
     const std::size_t maximum = std::min<std::size_t>(
         kMaxItems, static_cast<std::size_t>(number(q.query, "limit", kMaxItems)));
     Json items = Json::array();
+    std::size_t bytes = 0;
     bool truncated = false;
     auto it = from.empty() ? keys_.lower_bound(prefix) : keys_.upper_bound(from);
     for (; it != keys_.end() && it->first.rfind(prefix, 0) == 0; ++it) {
-        if (items.size() >= maximum || items.size() * kItemBytes > kMaxListed) {
+        Json next = item(it->first);
+        bytes += next.dump().size();
+        if (items.size() >= maximum || (!items.empty() && bytes > kMaxListed)) {
             truncated = true;
             break;
         }
-        items.push_back(item(it->first));
+        items.push_back(std::move(next));
     }
     reply(r, 200, {{"items", items}, {"truncated", truncated}, {"epoch", revision_}});
 }
--- a/src/controller/open_job_watcher.cpp
+++ b/src/controller/open_job_watcher.cpp
@@ -40,7 +40,11 @@
 }
 
 void OpenJobWatcher::on_watch_reply(const kvstore::ListReply& reply, Millis requested_at) {
-    if (reply.status == kvstore::Status::lease_or_revision_expired) {
+    // The next watch from this revision would get the same reply or a longer one. Lists come in
+    // pages of limited size.
+    const bool watch_is_useless = reply.status == kvstore::Status::lease_or_revision_expired ||
+                                  reply.status == kvstore::Status::protocol_error;
+    if (watch_is_useless) {
         list_all();
         return;
     }
--- a/src/controller/open_job_watcher.h
+++ b/src/controller/open_job_watcher.h
@@ -12,8 +12,8 @@
 
 /// Watches the prefix `open/` while a term runs. Each watch is short, so that the time up to which
 /// all cancellations are known advances every two seconds. If a watch has fallen behind the changes
-/// that the store retains, all open jobs are listed instead. Failed calls are retried after a
-/// pause. Runs on the loop's thread; used only by TermRunner.
+/// that the store retains, or its reply cannot be read, all open jobs are listed instead. Failed
+/// calls are retried after a pause. Runs on the loop's thread; used only by TermRunner.
 class OpenJobWatcher {
   public:
     /// Implemented by TermRunner. Each function may call `stop`.
--- a/src/kvstore/protocol.cpp
+++ b/src/kvstore/protocol.cpp
@@ -47,6 +47,12 @@
     return keys;
 }
 
+// Unlike that of a transaction, the outcome of a read whose reply is too long is certain.
+Status list_status_of(const net::ClientReply& reply) {
+    const bool too_long = reply.outcome == net::ClientReply::Outcome::too_long;
+    return too_long ? Status::protocol_error : status_of(reply);
+}
+
 Json encode_write(const Write& write) {
     if (!write.value) return {{"drop", write.key}};
     Json put = {{"set", write.key}, {"v", *write.value}};
@@ -57,7 +63,7 @@
 
 Status status_of(const net::ClientReply& reply) {
     if (reply.outcome == net::ClientReply::Outcome::refused) return Status::refused;
-    if (reply.outcome == net::ClientReply::Outcome::unknown) return Status::unknown;
+    if (reply.outcome != net::ClientReply::Outcome::answered) return Status::unknown;
     switch (reply.status) {
         case 200:
             return Status::ok;
@@ -114,7 +120,7 @@
 
 ListReply parse_list_reply(const net::ClientReply& reply) {
     ListReply parsed;
-    parsed.status = status_of(reply);
+    parsed.status = list_status_of(reply);
     if (parsed.status != Status::ok) return parsed;
     const auto body = wire::decode_reply_map(reply.body);
     if (!body) {
@@ -129,7 +135,7 @@
 
 ListReply parse_changes_reply(const net::ClientReply& reply) {
     ListReply parsed;
-    parsed.status = status_of(reply);
+    parsed.status = list_status_of(reply);
     if (parsed.status != Status::ok) return parsed;
     const auto body = wire::decode_reply_map(reply.body);
     const auto revision = body ? wire::count_field(*body, "epoch") : std::nullopt;
--- a/src/kvstore/protocol.h
+++ b/src/kvstore/protocol.h
@@ -32,7 +32,8 @@
 
 [[nodiscard]] GetReply parse_get_reply(const net::ClientReply& reply);
 [[nodiscard]] ListReply parse_list_reply(const net::ClientReply& reply);
-/// Parses the reply to a watch or to a request for changes.
+/// Parses the reply to a watch or to a request for changes. One that is too long to be received is
+/// Status::protocol_error.
 [[nodiscard]] ListReply parse_changes_reply(const net::ClientReply& reply);
 /// Returns Status::unknown for a success without a revision, because the transaction may have been
 /// applied.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -73,7 +73,8 @@
                 http_parser_execute(&parser_, &settings(), data, static_cast<std::size_t>(n));
             if (!complete_ &&
                 (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used != static_cast<std::size_t>(n))) {
-                finish_failed(ClientReply::Outcome::unknown);
+                finish_failed(body_is_too_long() ? ClientReply::Outcome::too_long
+                                                 : ClientReply::Outcome::unknown);
                 return;
             }
         }
@@ -82,6 +83,7 @@
 
   private:
     void set_state(State state) { state_ = state; }
+    bool body_is_too_long() const { return reply_.body.size() > kMaxReplyBytes; }
 
     // Prepares the connection for the next request and its reply.
     void take(HttpClient::Pending p) {
@@ -148,7 +150,7 @@
             s.on_body = [](http_parser* p, const char* at, std::size_t len) {
                 auto* c = static_cast<ClientConnection*>(p->data);
                 c->reply_.body.append(at, len);
-                return c->reply_.body.size() > kMaxReplyBytes ? 1 : 0;
+                return c->body_is_too_long() ? 1 : 0;
             };
             s.on_message_complete = [](http_parser* p) {
                 auto* c = static_cast<ClientConnection*>(p->data);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -18,7 +18,8 @@
     enum class Outcome {
         answered,
         refused,  ///< nothing was sent to the server
-        unknown   ///< the request may have been executed, or may yet be
+        unknown,  ///< the request may have been executed, or may yet be
+        too_long  ///< the body is longer than the limit; the request may have been executed
     };
     Outcome outcome = Outcome::unknown;
     int status = 0;
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -31,7 +31,7 @@
             ClientReply reply;
             reply.outcome =
                 *rc::gen::element(ClientReply::Outcome::answered, ClientReply::Outcome::refused,
-                                  ClientReply::Outcome::unknown);
+                                  ClientReply::Outcome::unknown, ClientReply::Outcome::too_long);
             reply.status = *rc::gen::element(200, 201, 400, 404, 409, 422, 429, 500, 503, 504);
             reply.retry_after_s = *rc::gen::element(0, 1, 7, 1000);
             const std::size_t requested = t.controller();
--- a/tests/stored_submissions_test.cpp
+++ b/tests/stored_submissions_test.cpp
@@ -156,4 +156,17 @@
     }
 }
 
+// Guards against repeating a watch whose reply is longer than a controller takes, while no job that
+// came after it is known.
+TEST_F(OpenJobsOnLoopback, ManyLongRecordsAreListedWhenTheWatchReplyIsTooLong) {
+    constexpr std::size_t kJobs = 300, kTextBytes = 30'000;  // 9 MB, more than a reply may have
+    for (std::size_t n = 0; n < kJobs; ++n)
+        write(submission("job-" + std::to_string(n), 2, kTextBytes));
+    watcher->start(1);
+    EXPECT_TRUE(until([&] { return known.size() == kJobs; }));
+    write(test::job("job-9999", "sweep", 1, 0));
+    EXPECT_TRUE(until([&] { return known.count("job-9999") == 1; }));
+    EXPECT_GT(confirmations, 0);
+}
+
 }  // namespace
