Refuse bodies that nest strings of indefinite length before they are read

Cause: the CBOR library's reader recurses for texts and byte strings of indefinite length as it does for lists and maps. The depth check counted with the library's events, which do not tell of strings, and ran on the same recursive reader.

Change: is_nested_at_most reads the heads of the items in a loop and counts strings, too. It takes the place of the check, so every body is guarded that decode_map reads: of users, workers, the state service, the cloud and nickelrampctl.

--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -2,37 +2,9 @@
 
 #include <algorithm>
 
-namespace nickelramp::wire {
+#include "wire/cbor_nesting.h"
 
-namespace {
-// Rejects bodies that are nested too deeply. The library's reader recurses once per level, so a
-// body that consists of opening brackets only would overflow the stack and crash the process.
-struct DepthCheck : nlohmann::json_sax<Json> {
-    explicit DepthCheck(std::size_t limit) : max_depth(limit) {}
-    const std::size_t max_depth;
-    std::size_t depth = 0;
-    bool enter() { return ++depth <= max_depth; }
-    bool leave() {
-        --depth;
-        return true;
-    }
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; }
-    bool number_unsigned(number_unsigned_t) override { return true; }
-    bool number_float(number_float_t, const string_t&) override { return true; }
-    bool string(string_t&) override { return true; }
-    bool binary(binary_t&) override { return true; }
-    bool start_object(std::size_t) override { return enter(); }
-    bool key(string_t&) override { return true; }
-    bool end_object() override { return leave(); }
-    bool start_array(std::size_t) override { return enter(); }
-    bool end_array() override { return leave(); }
-    bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override {
-        return false;
-    }
-};
-}  // namespace
+namespace nickelramp::wire {
 
 std::string encode(const Json& value) {
     std::string out;
@@ -42,10 +14,7 @@
 
 std::optional<Json> decode_map(const std::string& body, std::size_t max_depth) {
     // Each level takes a byte at least, so a body of `max_depth` bytes needs no check.
-    if (body.size() > max_depth) {
-        DepthCheck check(max_depth);
-        if (!Json::sax_parse(body, &check, Json::input_format_t::cbor)) return std::nullopt;
-    }
+    if (body.size() > max_depth && !is_nested_at_most(body, max_depth)) return std::nullopt;
     // The library throws if a length in the body exceeds the available memory, even with exceptions
     // disabled by the last argument.
     try {
--- a/src/wire/cbor.h
+++ b/src/wire/cbor.h
@@ -16,8 +16,8 @@
 /// Returns the value encoded as CBOR.
 std::string encode(const Json& value);
 
-/// Limit for the nesting of maps and lists in a request of a user or worker. It bounds the stack of
-/// the library's reader, which is recursive.
+/// Limit for the nesting of maps, lists and texts in a request of a user or worker. It bounds the
+/// stack of the library's reader, which is recursive.
 inline constexpr std::size_t kMaxRequestDepth = 2048;
 /// Limit for the nesting in all other bodies: replies, and transactions. They may contain what a
 /// request contained, inside the maps and lists of a record and of the reply around it. Whatever
--- a/tests/job_requests_test.cpp
+++ b/tests/job_requests_test.cpp
@@ -288,6 +288,8 @@
             "job",
             wire::encode(Json::array({1})),
             std::string(60'000, '\x81'),
+            std::string(64'000, '\x7f'),  // regression test: it ended the process
+            std::string(64'000, '\x5f'),
             encoded_job({{"later", not_utf8}}),
             encoded_job({{"bundle", "\xff"}}),
             encoded_job({{not_utf8, 1}}),
