Tests listen on ports that nobody else has

Cause: tests listened on fixed ports from 39301 to 39361. These lie within the range (32768 to 60999) from which the system takes the local ports of outgoing connections. While a connection of another test or program has the port, and for a minute afterwards (TIME_WAIT), nobody can listen there; the emulated state service then aborted. Every test on loopback could be met so, since the tests and scale runs open thousands of connections.

Change: test::ReservedPorts has the system choose free ports and keeps them bound, so that they are given to nobody else; servers that set SO_REUSEADDR, as libuv does, can still listen there, and unserved ones refuse. All seven files with fixed ports use it. The emulated state service throws an error with the address and the reason in place of ending the process. The one recorded request that has a port in it (Host of a command to a worker) is compared with the address of the run in the place of the recorded one; recorded bytes are unchanged.

--- a/emulator/state_service_emulator.cpp
+++ b/emulator/state_service_emulator.cpp
@@ -1,6 +1,7 @@
 #include "emulator/state_service_emulator.h"
 
 #include <algorithm>
+#include <system_error>
 #include <utility>
 
 #include "emulator/query.h"
@@ -37,9 +38,10 @@
     maintenance_timer_.every(kMaintenanceInterval);
 }
 
-StateServiceEmulator::StateServiceEmulator(uv_loop_t* loop, int port)
+StateServiceEmulator::StateServiceEmulator(uv_loop_t* loop, const std::string& address)
     : StateServiceEmulator(loop, Limits{}) {
-    if (listen("127.0.0.1:" + std::to_string(port)) < 0) std::abort();
+    if (const int error = listen(address); error < 0)
+        throw std::system_error(-error, std::generic_category(), "cannot listen on " + address);
 }
 
 int StateServiceEmulator::listen(const std::string& address) {
--- a/emulator/state_service_emulator.h
+++ b/emulator/state_service_emulator.h
@@ -46,8 +46,8 @@
         std::map<std::string, std::uint64_t> changes_by_prefix;
     };
     StateServiceEmulator(uv_loop_t* loop, Limits limits);
-    /// Listens on a port of 127.0.0.1, without limits. Aborts if it cannot listen.
-    StateServiceEmulator(uv_loop_t* loop, int port);
+    /// Listens on the address, without limits. Throws std::system_error if it cannot listen.
+    StateServiceEmulator(uv_loop_t* loop, const std::string& address);
     /// @return 0 or a libuv error.
     int listen(const std::string& address);
 
--- a/tests/controller_parts_test.cpp
+++ b/tests/controller_parts_test.cpp
@@ -11,6 +11,7 @@
 #include "controller/term_loader.h"
 #include "net/address.h"
 #include "tests/emulator.h"
+#include "tests/reserved_ports.h"
 
 namespace {
 
@@ -22,15 +23,11 @@
 using controller::TermRecords;
 using wire::Json;
 
-constexpr int kStorePort = 39360;
-constexpr const char* kStoreAddress = "127.0.0.1:39360";
-constexpr const char* kUnreachableCloudAddress = "127.0.0.1:39361";
-
 struct ControllerPartsOnLoopback : testing::Test {
     ControllerPartsOnLoopback() {
         uv_loop_init(&loop);
-        store = std::make_unique<test::StateServiceEmulator>(&loop, kStorePort);
-        client = std::make_unique<kvstore::Client>(&loop, *net::parse_address(kStoreAddress),
+        store = std::make_unique<test::StateServiceEmulator>(&loop, store_address);
+        client = std::make_unique<kvstore::Client>(&loop, *net::parse_address(store_address),
                                                    "store", kvstore::RateLimits{1000, 1000});
     }
     ~ControllerPartsOnLoopback() override {
@@ -55,6 +52,9 @@
     }
 
     uv_loop_t loop;
+    const test::ReservedPorts ports{2};
+    const std::string store_address = ports.address(0),
+                      unreachable_cloud_address = ports.address(1);
     LoopClock clock{&loop};
     std::unique_ptr<test::StateServiceEmulator> store;
     std::unique_ptr<kvstore::Client> client;
@@ -108,7 +108,7 @@
 // Records must not be loaded before the machine types are known. An outage of the store must only
 // delay the load, and no record may be loaded twice.
 TEST_F(ControllerPartsOnLoopback, TermLoaderWaitsForMachineTypesAndRetriesAfterAnOutage) {
-    cloud::CloudClient unreachable_cloud(&loop, *net::parse_address(kUnreachableCloudAddress),
+    cloud::CloudClient unreachable_cloud(&loop, *net::parse_address(unreachable_cloud_address),
                                          "cloud", 10);
     FollowerTypeListener types_listener;
     MachineTypeStore types(&loop, *client, unreachable_cloud, types_listener);
--- a/tests/ctl_service.cpp
+++ b/tests/ctl_service.cpp
@@ -13,14 +13,14 @@
 
 namespace nickelramp::test {
 
-CtlService::CtlService(const std::string& address) {
+CtlService::CtlService() {
     uv_loop_init(&loop_);
     server_ = std::make_unique<net::HttpServer>(
         &loop_, 8, [this](const net::Request& request, const net::Responder& responder) {
             requests.push_back(request);
             responder.send(answers[std::min(requests.size(), answers.size()) - 1]);
         });
-    EXPECT_EQ(server_->listen(*net::parse_address(address)), 0);
+    EXPECT_EQ(server_->listen(*net::parse_address(address())), 0);
 }
 
 CtlService::~CtlService() {
--- a/tests/ctl_service.h
+++ b/tests/ctl_service.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "net/http_server.h"
+#include "tests/reserved_ports.h"
 
 namespace nickelramp::test {
 
@@ -21,12 +22,13 @@
 /// Runs commands of nickelrampctl, records their requests and answers with prepared responses.
 class CtlService {
   public:
-    /// @param address where to listen: an IPv4 loopback address with a port
-    explicit CtlService(const std::string& address);
+    CtlService();
     ~CtlService();
     CtlService(const CtlService&) = delete;
     CtlService& operator=(const CtlService&) = delete;
 
+    /// Returns the address that stands for a controller in commands.
+    std::string address() const { return port_.address(); }
     /// Runs the command on a separate thread and serves its requests on this one until it exits.
     [[nodiscard]] CtlRun run(const std::vector<std::string>& arguments, const std::string& input);
 
@@ -34,6 +36,7 @@
     std::vector<net::Request> requests;  ///< in order of arrival
 
   private:
+    const ReservedPorts port_;
     uv_loop_t loop_;
     std::unique_ptr<net::HttpServer> server_;
 };
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -9,6 +9,7 @@
 #include "ctl/show.h"
 #include "tests/cluster_simulation.h"
 #include "tests/ctl_service.h"
+#include "tests/reserved_ports.h"
 
 namespace {
 
@@ -87,10 +88,10 @@
               "id        n\njob-1     7\nx      1000\n");
 }
 
-const std::string kServiceAddress = "127.0.0.1:39310", kClosedAddress = "127.0.0.1:39311";
-
 struct CtlOnLoopback : testing::Test {
-    test::CtlService service{kServiceAddress};
+    test::CtlService service;
+    const test::ReservedPorts closed_port;
+    const std::string service_address = service.address(), closed_address = closed_port.address();
     std::vector<net::Response>& answers = service.answers;
     std::string output, err_output;
     int ctl(const std::vector<std::string>& arguments, const std::string& input = "") {
@@ -116,7 +117,7 @@
                cbor(201, wire::encode_job_answer("job-5", wire::JobStatus::pending))};
     const std::string job = test::job("job-5", "sweep", 2, 0).dump();
     EXPECT_EQ(
-        ctl({"--controller", kClosedAddress, "--controller", kServiceAddress, "submit", "-"}, job),
+        ctl({"--controller", closed_address, "--controller", service_address, "submit", "-"}, job),
         ctl::kExitOk);
     EXPECT_EQ(output, "job-5 is pending\n");
     EXPECT_EQ(requested(), (std::vector<std::string>{"POST /work", "POST /work"}));
@@ -125,7 +126,7 @@
 TEST_F(CtlOnLoopback, PassesOnRejectionsOfTheService) {
     answers = {cbor(422, {{"error", "unknown team"}})};
     const std::string job = test::job("job-5", "sweep", 2, 0).dump();
-    EXPECT_EQ(ctl({"--controller", kServiceAddress, "submit", "-"}, job), ctl::kExitRejected);
+    EXPECT_EQ(ctl({"--controller", service_address, "submit", "-"}, job), ctl::kExitRejected);
     EXPECT_EQ(err_output, "the service says 422: unknown team\n");
     EXPECT_EQ(requested().size(), 1u);
 }
@@ -133,7 +134,7 @@
 TEST_F(CtlOnLoopback, WatchesAJobUntilItFinishes) {
     answers = {cbor(200, wire::encode_job_answer("job-5", wire::JobStatus::running, {{1, 2}})),
                cbor(200, wire::encode_job_answer("job-5", wire::JobStatus::done, {{3, 0}}))};
-    EXPECT_EQ(ctl({"--controller", kServiceAddress, "show", "job-5", "--watch", "0.1"}),
+    EXPECT_EQ(ctl({"--controller", service_address, "show", "job-5", "--watch", "0.1"}),
               ctl::kExitOk);
     EXPECT_EQ(
         output,
@@ -157,7 +158,7 @@
                          {"why", "allowed machines are full"}}}}};
     answers = {{200, follower.dump(), 0, "application/json"},
                {200, leader.dump(), 0, "application/json"}};
-    EXPECT_EQ(ctl({"--controller", kServiceAddress, "--controller", kServiceAddress, "late"}),
+    EXPECT_EQ(ctl({"--controller", service_address, "--controller", service_address, "late"}),
               ctl::kExitOk);
     EXPECT_EQ(output,
               "id     class  objective  within_s  left_s  why\n"
@@ -194,7 +195,7 @@
     answers.push_back(json(200, plan));
     answers.push_back(
         json(200, {{"id", "up"}, {"state", "refused"}, {"steps", {step("m-2", 7.5)}}}));
-    EXPECT_EQ(ctl({"--controller", kServiceAddress, "plan", "make", "--machine", "m-1", "--machine",
+    EXPECT_EQ(ctl({"--controller", service_address, "plan", "make", "--machine", "m-1", "--machine",
                    "m-2", "up"}),
               ctl::kExitRejected);
     EXPECT_EQ(output,
@@ -210,7 +211,7 @@
 }
 
 TEST_F(CtlOnLoopback, ReportsThatNoControllerAnswers) {
-    EXPECT_EQ(ctl({"--controller", kClosedAddress, "--give-up", "1", "show", "job-5"}),
+    EXPECT_EQ(ctl({"--controller", closed_address, "--give-up", "1", "show", "job-5"}),
               ctl::kExitNoAnswer);
     EXPECT_EQ(err_output.rfind("no controller has answered (", 0), 0u) << err_output;
     EXPECT_EQ(err_output.find("may have been done"), std::string::npos)
@@ -222,13 +223,13 @@
              {},
              {"dance"},
              {"--controller", "here", "status"},
-             {"--controller", kServiceAddress, "show", "no id"},
-             {"--controller", kServiceAddress, "submit", "/nowhere/job.json"},
-             {"--controller", kServiceAddress, "submit", "-"},
-             {"--controller", kServiceAddress, "settings", "lent_machines"},
-             {"--controller", kServiceAddress, "settings", "lent_machines", "many"},
+             {"--controller", service_address, "show", "no id"},
+             {"--controller", service_address, "submit", "/nowhere/job.json"},
+             {"--controller", service_address, "submit", "-"},
+             {"--controller", service_address, "settings", "lent_machines"},
+             {"--controller", service_address, "settings", "lent_machines", "many"},
              {"--config", "/nowhere.toml", "status"},
-             {"--controller", kServiceAddress, "--give-up", "0", "status"}}) {
+             {"--controller", service_address, "--give-up", "0", "status"}}) {
         EXPECT_EQ(ctl(words, "{\"id\": 5}"), ctl::kExitUsage)
             << (words.empty() ? "" : words.back());
         EXPECT_FALSE(err_output.empty());
--- a/tests/golden_ctl_test.cpp
+++ b/tests/golden_ctl_test.cpp
@@ -7,15 +7,13 @@
 #include "tests/ctl_service.h"
 #include "tests/golden.h"
 #include "tests/golden_samples.h"
+#include "tests/reserved_ports.h"
 
 namespace {
 
 using namespace nickelramp;
 using wire::Json;
 
-constexpr const char* kServiceAddress = "127.0.0.1:39321";
-constexpr const char* kClosedAddress = "127.0.0.1:39322";
-
 Json full_status() {
     return {{"node", "n1"},
             {"leader", "n1"},
@@ -92,8 +90,16 @@
   protected:
     // Runs a command against the prepared answers and records its requests, output and exit code.
     void run(const std::string& entry, std::vector<std::string> arguments,
-             const std::string& input = "", const std::string& controller = kServiceAddress) {
-        if (!controller.empty()) arguments.insert(arguments.begin(), {"--controller", controller});
+             const std::string& input = "") {
+        run_with(service.address(), entry, std::move(arguments), input);
+    }
+    void run_with(const std::string& controller, const std::string& entry,
+                  std::vector<std::string> arguments, const std::string& input = "") {
+        arguments.insert(arguments.begin(), {"--controller", controller});
+        run_command(entry, arguments, input);
+    }
+    void run_command(const std::string& entry, const std::vector<std::string>& arguments,
+                     const std::string& input = "") {
         service.requests.clear();
         const test::CtlRun run = service.run(arguments, input);
         std::string seen = "exit " + std::to_string(run.exit_code) + "\nasked:\n";
@@ -108,7 +114,8 @@
     void answer_cbor(int status, const Json& body) {
         answers = {{status, wire::encode(body), 0, "application/cbor"}};
     }
-    test::CtlService service{kServiceAddress};
+    test::CtlService service;
+    const test::ReservedPorts closed_port;
     std::vector<net::Response>& answers = service.answers;
 };
 
@@ -204,9 +211,9 @@
     run("plan without machines", {"plan", "make", "up"});
     run("plan of a bad name", {"plan", "make", "a b", "--zone", "a"});
     run("plan at once 0", {"plan", "make", "up", "--zone", "a", "--at-once", "0"});
-    run("bad controller", {"status"}, "", "here");
-    run("no settings file", {"--config", "/nowhere.toml", "status"}, "", "");
-    run("nobody there", {"--give-up", "1", "show", "job-5"}, "", kClosedAddress);
+    run_with("here", "bad controller", {"status"});
+    run_command("no settings file", {"--config", "/nowhere.toml", "status"});
+    run_with(closed_port.address(), "nobody there", {"--give-up", "1", "show", "job-5"});
     run("version", {"--version"});
 }
 
--- a/tests/golden_http_test.cpp
+++ b/tests/golden_http_test.cpp
@@ -12,6 +12,7 @@
 #include "tests/emulator.h"
 #include "tests/golden.h"
 #include "tests/golden_loopback.h"
+#include "tests/reserved_ports.h"
 
 namespace {
 
@@ -20,8 +21,8 @@
 using test::golden::Listener;
 using wire::Json;
 
-constexpr const char* kAddress = "127.0.0.1:39320";
-constexpr int kPort = 39320;
+// The address of workers in recorded requests.
+constexpr const char* kRecordedAddress = "127.0.0.1:39320";
 
 class GoldenHttp : public test::golden::Recorded {
   protected:
@@ -34,15 +35,23 @@
     // Records the bytes of the single request that `send` makes. It is answered with an empty 200.
     template <typename Send>
     void request(const std::string& entry, Send send) {
-        Listener observer(kPort, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        Listener observer(address, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         {
             auto sender = send();
             ASSERT_TRUE(test::run_until(&loop, [&] { return observer.request_received(); }))
                 << entry;
         }
-        text(entry, observer.request());
+        text(entry, with_recorded_address(observer.request()));
         uv_run(&loop, UV_RUN_NOWAIT);
     }
+    // Returns the request with the address of this run replaced by the recorded one.
+    std::string with_recorded_address(std::string request) const {
+        if (const auto at = request.find(address); at != std::string::npos)
+            request.replace(at, address.size(), kRecordedAddress);
+        return request;
+    }
+    const test::ReservedPorts port;
+    const std::string address = port.address();
     uv_loop_t loop;
 };
 
@@ -50,7 +59,7 @@
     auto with_client = [this](const std::string& entry, auto ask) {
         request(entry, [&] {
             auto client = std::make_unique<kvstore::Client>(
-                &loop, *net::parse_address(kAddress), "state:1", kvstore::RateLimits{100, 100});
+                &loop, *net::parse_address(address), "state:1", kvstore::RateLimits{100, 100});
             ask(*client);
             return client;
         });
@@ -98,7 +107,7 @@
                                                      });
     auto with_cloud = [this](const std::string& entry, auto ask) {
         request(entry, [&] {
-            auto cloud = std::make_unique<cloud::CloudClient>(&loop, *net::parse_address(kAddress),
+            auto cloud = std::make_unique<cloud::CloudClient>(&loop, *net::parse_address(address),
                                                               "cloud:1", 10);
             ask(*cloud);
             return cloud;
@@ -116,7 +125,7 @@
     });
     request("commands to a worker", [this] {
         auto clients = std::make_unique<controller::WorkerConnections>(&loop, 4);
-        clients->send_command("m-1", kAddress, wire::encode_direct_commands(7, 3, {}),
+        clients->send_command("m-1", address, wire::encode_direct_commands(7, 3, {}),
                               [](Millis, const cluster::CommandReply&) {}, {});
         return clients;
     });
@@ -126,8 +135,8 @@
     std::deque<net::Response> answers;
     net::HttpServer server(
         &loop, 8, [&](const net::Request&, const net::Responder& r) { r.send(answers.front()); });
-    ASSERT_EQ(server.listen(*net::parse_address(kAddress)), 0);
-    auto ask = [&](const std::string& bytes) { return exchange(&loop, kPort, bytes); };
+    ASSERT_EQ(server.listen(*net::parse_address(address)), 0);
+    auto ask = [&](const std::string& bytes) { return exchange(&loop, address, bytes); };
     const std::string get = "GET /x HTTP/1.1\r\nConnection: close\r\n\r\n";
     for (int status : {200, 201, 400, 404, 405, 409, 413, 414, 421, 422, 429, 431, 500, 503, 504}) {
         answers = {{status, "body", status == 503 ? 7 : 0, "application/cbor"}};
@@ -156,8 +165,8 @@
     net::Response next;
     net::HttpServer server(&loop, 8,
                            [&](const net::Request&, const net::Responder& r) { r.send(next); });
-    ASSERT_EQ(server.listen(*net::parse_address(kAddress)), 0);
-    kvstore::Client client(&loop, *net::parse_address(kAddress), "state", {1000, 1000});
+    ASSERT_EQ(server.listen(*net::parse_address(address)), 0);
+    kvstore::Client client(&loop, *net::parse_address(address), "state", {1000, 1000});
     std::string got, committed, watched, leased;
     auto answered_with = [&](int status, const Json& body, auto ask) {
         next = {status, wire::encode(body), 0, "application/cbor"};
--- a/tests/golden_loopback.cpp
+++ b/tests/golden_loopback.cpp
@@ -1,11 +1,11 @@
 #include "tests/golden_loopback.h"
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "net/address.h"
 #include "tests/emulator.h"
 
 namespace nickelramp::test::golden {
@@ -14,14 +14,6 @@
 constexpr std::size_t kReadBufferBytes = 65536;
 constexpr time_t kReceiveTimeoutS = 5;  // for the next bytes of a reply
 
-sockaddr_in loopback(int port) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    return address;
-}
-
 // Returns whether the request has its head and as many body bytes as Content-Length states.
 bool is_complete(const std::string& request) {
     const std::string mark = "Content-Length: ";
@@ -55,12 +47,12 @@
 }
 }  // namespace
 
-Listener::Listener(int port, std::string answer) : answer_(std::move(answer)) {
+Listener::Listener(const std::string& address, std::string answer) : answer_(std::move(answer)) {
     socket_ = socket(AF_INET, SOCK_STREAM, 0);
     const int on = 1;
     setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    const sockaddr_in address = loopback(port);
-    EXPECT_EQ(bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
+    const sockaddr_in own = *net::parse_address(address);
+    EXPECT_EQ(bind(socket_, reinterpret_cast<const sockaddr*>(&own), sizeof own), 0);
     EXPECT_EQ(listen(socket_, 8), 0);
     thread_ = std::thread([this] { run(); });
 }
@@ -85,14 +77,14 @@
     }
 }
 
-std::string exchange(uv_loop_t* loop, int port, const std::string& bytes) {
+std::string exchange(uv_loop_t* loop, const std::string& server, const std::string& bytes) {
     std::string out;
     std::atomic<bool> over = false;
     std::thread client([&] {
         const int connection = socket(AF_INET, SOCK_STREAM, 0);
         const timeval receive_timeout{kReceiveTimeoutS, 0};
         setsockopt(connection, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout, sizeof receive_timeout);
-        const sockaddr_in address = loopback(port);
+        const sockaddr_in address = *net::parse_address(server);
         if (connect(connection, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
             write_to(connection, bytes);
             out = read_from(connection, [](const std::string&) { return false; });
--- a/tests/golden_loopback.h
+++ b/tests/golden_loopback.h
@@ -9,11 +9,11 @@
 
 namespace nickelramp::test::golden {
 
-/// Accepts connections on a loopback port until it has received one complete request, answers it
+/// Accepts connections on a loopback address until it has received one complete request, answers it
 /// and keeps its bytes.
 class Listener {
   public:
-    Listener(int port, std::string answer);
+    Listener(const std::string& address, std::string answer);
     ~Listener();
     Listener(const Listener&) = delete;
     Listener& operator=(const Listener&) = delete;
@@ -30,8 +30,8 @@
     std::thread thread_;
 };
 
-/// Sends the bytes to a port that the loop serves. Returns what is received until the connection
-/// closes.
-std::string exchange(uv_loop_t* loop, int port, const std::string& bytes);
+/// Sends the bytes to an address that the loop serves. Returns what is received until the
+/// connection closes.
+std::string exchange(uv_loop_t* loop, const std::string& server, const std::string& bytes);
 
 }  // namespace nickelramp::test::golden
--- a/tests/golden_program_test.cpp
+++ b/tests/golden_program_test.cpp
@@ -16,16 +16,13 @@
 #include "tests/emulator.h"
 #include "tests/golden.h"
 #include "tests/golden_samples.h"
+#include "tests/reserved_ports.h"
 
 namespace {
 
 using namespace nickelramp;
 using wire::Json;
 
-constexpr int kStatePort = 39330;
-constexpr const char* kStateAddress = "127.0.0.1:39330";
-constexpr const char* kCloudAddress = "127.0.0.1:39331";
-constexpr int kControllerPort = 39332;
 // The leader, the term, the machine types and the four roles.
 constexpr std::size_t kFirstRecords = 7;
 
@@ -93,7 +90,7 @@
                      {"serve_on", "127.0.0.1:1"},
                      {"back", "127.0.0.1:2"},
                      {"peers", Json::array()},
-                     {"external", {{"cloud", kCloudAddress}, {"state", kStateAddress}}},
+                     {"external", {{"cloud", "127.0.0.1:3"}, {"state", "127.0.0.1:4"}}},
                      {"facts", facts()}};
     const std::string good = file("good.json", settings.dump());
     settings.erase("site");
@@ -124,18 +121,18 @@
                  ("nickelramp-golden-" + std::to_string(getpid()))) {
         std::filesystem::create_directories(folder);
         uv_loop_init(&loop);
-        state = std::make_unique<test::StateServiceEmulator>(&loop, kStatePort);
+        state = std::make_unique<test::StateServiceEmulator>(&loop, state_address);
         cloud = std::make_unique<net::HttpServer>(
             &loop, 8, [this](const net::Request& q, const net::Responder& r) { on_cloud(q, r); });
-        EXPECT_EQ(cloud->listen(*net::parse_address(kCloudAddress)), 0);
+        EXPECT_EQ(cloud->listen(*net::parse_address(cloud_address)), 0);
         controllers = std::make_unique<emulator::ControllerProcesses>(
             emulator::ControllerSettings{NICKELRAMP_PROGRAM,
                                          folder.string(),
                                          1,
-                                         kControllerPort,
+                                         controller_ports.first(),
                                          {"a", "b"},
-                                         kCloudAddress,
-                                         kStateAddress,
+                                         cloud_address,
+                                         state_address,
                                          facts()});
         user = std::make_unique<net::HttpClient>(
             &loop, *net::parse_address(controllers->address(0)), "user", 4, 16);
@@ -186,6 +183,9 @@
         return test::run_until(&loop, [&] { return state->keys() >= kFirstRecords; });
     }
     std::filesystem::path folder;
+    const test::ReservedPorts service_ports{2}, controller_ports{2};
+    const std::string state_address = service_ports.address(0),
+                      cloud_address = service_ports.address(1);
     uv_loop_t loop;
     std::unique_ptr<test::StateServiceEmulator> state;
     std::unique_ptr<net::HttpServer> cloud;
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -14,6 +14,7 @@
 #include "tests/byte_exchange.h"
 #include "tests/cluster_simulation.h"
 #include "tests/emulator.h"
+#include "tests/reserved_ports.h"
 
 namespace {
 
@@ -42,12 +43,12 @@
         return received;
     }
     // Sends raw bytes on a new connection and returns what is received until the server closes it.
-    std::string exchange_bytes(int port, const std::string& bytes) {
+    std::string exchange_bytes(const std::string& server, const std::string& bytes) {
         auto exchange = std::make_unique<test::ByteExchange>();
         exchange->sent = bytes;
         uv_tcp_init(&loop, &exchange->tcp);
         exchange->tcp.data = exchange->connect.data = exchange.get();
-        const auto address = *net::parse_address("127.0.0.1:" + std::to_string(port));
+        const auto address = *net::parse_address(server);
         uv_tcp_connect(&exchange->connect, &exchange->tcp,
                        reinterpret_cast<const sockaddr*>(&address), [](uv_connect_t* request, int) {
                            static_cast<test::ByteExchange*>(request->data)->start();
@@ -66,21 +67,25 @@
     net::HttpServer server(&loop, 8, [](const net::Request& request, net::Responder responder) {
         responder.send({200, std::to_string(request.body.size()), 0, "text/plain"});
     });
-    ASSERT_EQ(server.listen(*net::parse_address("127.0.0.1:39301")), 0);
-    EXPECT_EQ(exchange_bytes(39301, "nonsense\r\n\r\n"), "");
+    const test::ReservedPorts ports;
+    ASSERT_EQ(server.listen(*net::parse_address(ports.address())), 0);
+    EXPECT_EQ(exchange_bytes(ports.address(), "nonsense\r\n\r\n"), "");
     EXPECT_NE(
-        exchange_bytes(39301, "GET /" + std::string(8000, 'x') + " HTTP/1.1\r\n\r\n").find(" 414 "),
+        exchange_bytes(ports.address(), "GET /" + std::string(8000, 'x') + " HTTP/1.1\r\n\r\n")
+            .find(" 414 "),
         std::string::npos);
-    EXPECT_NE(exchange_bytes(39301, "GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n")
+    EXPECT_NE(exchange_bytes(ports.address(),
+                             "GET / HTTP/1.1\r\nA: " + std::string(20000, 'x') + "\r\n\r\n")
                   .find(" 431 "),
               std::string::npos);
-    EXPECT_NE(exchange_bytes(39301, "POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" +
-                                        std::string(70000, 'x'))
+    EXPECT_NE(exchange_bytes(ports.address(), "POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n" +
+                                                  std::string(70000, 'x'))
                   .find(" 413 "),
               std::string::npos);
-    EXPECT_NE(exchange_bytes(39301, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n").find(" 200 "),
+    EXPECT_NE(exchange_bytes(ports.address(), "GET / HTTP/1.1\r\nConnection: close\r\n\r\n")
+                  .find(" 200 "),
               std::string::npos);
-    net::HttpClient client(&loop, *net::parse_address("127.0.0.1:39301"), "x", 1, 4);
+    net::HttpClient client(&loop, *net::parse_address(ports.address()), "x", 1, 4);
     EXPECT_EQ(ask(client, "POST", "/", std::string(60'000, 'y')).body, "60000");
     EXPECT_EQ(ask(client, "GET", "/").body, "0");  // the same connection
     EXPECT_EQ(server.connections(), 1u);
@@ -110,8 +115,9 @@
 
 // Users write more than the state service accepts. A leader must still be elected without delay.
 TEST_F(Loopback, UserRequestsDoNotDelayElections) {
-    test::StateServiceEmulator state_service(&loop, 39305);
-    kvstore::Client client(&loop, *net::parse_address("127.0.0.1:39305"), "state", {200, 10});
+    const test::ReservedPorts ports;
+    test::StateServiceEmulator state_service(&loop, ports.address());
+    kvstore::Client client(&loop, *net::parse_address(ports.address()), "state", {200, 10});
     std::size_t written = 0;
     constexpr std::size_t kSubmissions = 200;  // 40 s of writes
     for (std::size_t i = 0; i < kSubmissions; ++i) {
@@ -127,14 +133,17 @@
 }
 
 TEST_F(Loopback, AnUnreachableServerIsRefusedNotUnknown) {
-    net::HttpClient client(&loop, *net::parse_address("127.0.0.1:39302"), "x", 1, 4);
+    const test::ReservedPorts ports;
+    net::HttpClient client(&loop, *net::parse_address(ports.address()), "x", 1, 4);
     EXPECT_EQ(ask(client, "GET", "/").outcome, net::ClientReply::Outcome::refused);
 }
 
 struct JobRequestsOnLoopback : Loopback {
     wire::Settings settings = test::simulation_settings();
-    test::StateServiceEmulator emulator{&loop, 39303};
-    kvstore::Client state{&loop, *net::parse_address("127.0.0.1:39303"), "state", {200, 200}};
+    const test::ReservedPorts ports{2};
+    const std::string state_address = ports.address(0), own_address = ports.address(1);
+    test::StateServiceEmulator emulator{&loop, state_address};
+    kvstore::Client state{&loop, *net::parse_address(state_address), "state", {200, 200}};
     std::vector<int> reported_statuses;
     api::ConfirmedReadsDriver reads{&loop, state, settings};
     api::JobRequestHandler request_handler{
@@ -148,9 +157,9 @@
                                if (!request_handler.handle(request, responder))
                                    responder.send({404, "", 0, "x"});
                            }};
-    net::HttpClient user{&loop, *net::parse_address("127.0.0.1:39304"), "desk", 2, 8};
+    net::HttpClient user{&loop, *net::parse_address(own_address), "desk", 2, 8};
     JobRequestsOnLoopback() {
-        EXPECT_EQ(server.listen(*net::parse_address("127.0.0.1:39304")), 0);
+        EXPECT_EQ(server.listen(*net::parse_address(own_address)), 0);
         request_handler.set_machine_types({{"g4", 16, 4, 64, 50, 1, 10, 4, 10, {"a", "b"}}});
     }
     // Writes the final status of a cancelled job. The leader does this when no task is left.
@@ -249,8 +258,9 @@
 }
 
 TEST_F(Loopback, OneLeaderIsElectedAndSucceeded) {
-    test::StateServiceEmulator state_service(&loop, 39305);
-    const auto address = *net::parse_address("127.0.0.1:39305");
+    const test::ReservedPorts ports;
+    test::StateServiceEmulator state_service(&loop, ports.address());
+    const auto address = *net::parse_address(ports.address());
     kvstore::Client client_a(&loop, address, "state", {200, 200});
     kvstore::Client client_b(&loop, address, "state", {200, 200});
     Candidate a(&loop, client_a, "a", 1);
@@ -312,8 +322,10 @@
                                 : request.path);
         responder.send({503, "", 0, "application/cbor"});
     });
-    ASSERT_EQ(server.listen(*net::parse_address("127.0.0.1:39306")), 0);
-    cloud::CloudClient cloud(&loop, *net::parse_address("127.0.0.1:39306"), "cloud", 20);
+    const test::ReservedPorts ports;
+    const auto address = *net::parse_address(ports.address());
+    ASSERT_EQ(server.listen(address), 0);
+    cloud::CloudClient cloud(&loop, address, "cloud", 20);
     std::size_t replies = 0;
     lease::LeaseGuard<lease::ScaleOut> guard([] { return Millis{0}; },
                                              [] {
@@ -352,7 +364,9 @@
                                 : request.path);
         responder.send({503, "", 0, "application/cbor"});
     });
-    ASSERT_EQ(server.listen(*net::parse_address("127.0.0.1:39307")), 0);
+    const test::ReservedPorts ports;
+    const auto address = *net::parse_address(ports.address());
+    ASSERT_EQ(server.listen(address), 0);
     Millis clock = 0;
     lease::Lease lease{5, 100};
     lease::LeaseGuard<lease::ScaleOut> guard([&] { return clock; }, [&] { return lease; });
@@ -361,7 +375,7 @@
         lease = {5, 100};
         clock = 0;
         received.clear();
-        cloud::CloudClient cloud(&loop, *net::parse_address("127.0.0.1:39307"), "cloud", 10);
+        cloud::CloudClient cloud(&loop, address, "cloud", 10);
         std::map<std::string, Result> results;
         for (int n = 0; n < 24; ++n) {
             const std::string name = "r-" + std::to_string(n);
--- a/tests/stored_submissions_test.cpp
+++ b/tests/stored_submissions_test.cpp
@@ -18,6 +18,7 @@
 #include "net/address.h"
 #include "tests/cluster_simulation.h"
 #include "tests/emulator.h"
+#include "tests/reserved_ports.h"
 
 namespace {
 
@@ -98,8 +99,8 @@
         uv_loop_close(&loop);
     }
     void SetUp() override {
-        emulator = std::make_unique<test::StateServiceEmulator>(&loop, 39308);
-        client = std::make_unique<kvstore::Client>(&loop, *net::parse_address("127.0.0.1:39308"),
+        emulator = std::make_unique<test::StateServiceEmulator>(&loop, ports.address());
+        client = std::make_unique<kvstore::Client>(&loop, *net::parse_address(ports.address()),
                                                    "state", kvstore::RateLimits{5'000, 5'000});
         watcher = std::make_unique<controller::OpenJobWatcher>(clock, *client, *this);
     }
@@ -127,6 +128,7 @@
     }
     void on_cancellations_known(Millis) override { ++confirmations; }
 
+    const test::ReservedPorts ports;
     controller::LoopClock clock{&loop};
     std::unique_ptr<test::StateServiceEmulator> emulator;
     std::unique_ptr<kvstore::Client> client;
