State service client: one callback parses, logs and passes on replies

get, list_page, commit, changes_since and watch each parsed a reply, logged it if it violates the protocol, and passed it on, in the same words.

--- a/src/kvstore/client.cpp
+++ b/src/kvstore/client.cpp
@@ -36,14 +36,19 @@
 
 bool Client::has_spare_budget() const { return !health_.throttled(now()) && queue_.empty(); }
 
-void Client::get(const std::string& key, RequestClass request_class, Millis timeout, GetDone done) {
-    QueuedRequest request{"GET", get_target(key), "", 0, timeout, {}, {}};
-    request.on_reply = [this, target = request.target,
-                        done = std::move(done)](const net::ClientReply& reply) {
-        const GetReply parsed = parse_get_reply(reply);
+template <typename Parse, typename Done>
+net::HttpClient::Done Client::parsed_by(Parse parse, std::string target, Done done) {
+    return [this, parse, target = std::move(target),
+            done = std::move(done)](const net::ClientReply& reply) {
+        auto parsed = parse(reply);
         log_if_unexpected(parsed.status, target, reply);
-        done(parsed);
+        done(std::move(parsed));
     };
+}
+
+void Client::get(const std::string& key, RequestClass request_class, Millis timeout, GetDone done) {
+    QueuedRequest request{"GET", get_target(key), "", 0, timeout, {}, {}};
+    request.on_reply = parsed_by(parse_get_reply, request.target, std::move(done));
     queue_.submit(request_class, std::move(request));
 }
 
@@ -69,12 +74,7 @@
 void Client::list_page(const std::string& prefix, const std::string& after, std::size_t limit,
                        RequestClass request_class, ListDone done) {
     QueuedRequest request{"GET", list_target(prefix, after, limit), "", 0, kListTimeout, {}, {}};
-    request.on_reply = [this, target = request.target,
-                        done = std::move(done)](const net::ClientReply& reply) {
-        ListReply parsed = parse_list_reply(reply);
-        log_if_unexpected(parsed.status, target, reply);
-        done(std::move(parsed));
-    };
+    request.on_reply = parsed_by(parse_list_reply, request.target, std::move(done));
     queue_.submit(request_class, std::move(request));
 }
 
@@ -86,12 +86,7 @@
     request.body = encode_transaction(transaction);
     request.writes = static_cast<double>(transaction.writes.size());
     request.timeout = timeout;
-    request.on_reply = [this, target = request.target,
-                        done = std::move(done)](const net::ClientReply& reply) {
-        const CommitReply parsed = parse_commit_reply(reply);
-        log_if_unexpected(parsed.status, target, reply);
-        done(parsed);
-    };
+    request.on_reply = parsed_by(parse_commit_reply, request.target, std::move(done));
     request.may_send = std::move(may_send);
     queue_.submit(request_class, std::move(request));
 }
@@ -99,8 +94,7 @@
 void Client::changes_since(const std::string& prefix, std::uint64_t after,
                            RequestClass request_class, Millis timeout, ListDone done) {
     QueuedRequest request{"GET", watch_target(prefix, after, 0), "", 0, timeout, {}, {}};
-    request.on_reply = [this, target = request.target, done = std::move(done)](
-                           const net::ClientReply& reply) { finish_changes(target, reply, done); };
+    request.on_reply = parsed_by(parse_changes_reply, request.target, std::move(done));
     queue_.submit(request_class, std::move(request));
 }
 
@@ -108,19 +102,13 @@
                    Millis grace) {
     const std::string target = watch_target(prefix, after, wait);
     watch_http_.request("GET", target, "", wait + grace,
-                        [this, target, done = std::move(done)](const net::ClientReply& reply) {
+                        [this, on_reply = parsed_by(parse_changes_reply, target, std::move(done))](
+                            const net::ClientReply& reply) {
                             health_.on_watch_reply(reply, now());
-                            finish_changes(target, reply, done);
+                            on_reply(reply);
                         });
 }
 
-void Client::finish_changes(const std::string& target, const net::ClientReply& reply,
-                            const ListDone& done) {
-    ListReply parsed = parse_changes_reply(reply);
-    log_if_unexpected(parsed.status, target, reply);
-    done(std::move(parsed));
-}
-
 void Client::log_if_unexpected(Status status, const std::string& target,
                                const net::ClientReply& reply) {
     if (status != Status::protocol_error || now() < may_log_unexpected_at_) return;
--- a/src/kvstore/client.h
+++ b/src/kvstore/client.h
@@ -75,8 +75,10 @@
   private:
     void fetch_next_page(std::shared_ptr<ListReply> collected, const std::string& prefix,
                          const std::string& after, RequestClass request_class, ListDone done);
-    void finish_changes(const std::string& target, const net::ClientReply& reply,
-                        const ListDone& done);
+    // Returns a callback that parses the reply to a request for `target`, logs it if it violates
+    // the protocol, and passes it to `done`.
+    template <typename Parse, typename Done>
+    net::HttpClient::Done parsed_by(Parse parse, std::string target, Done done);
     // Logs a reply that violates the protocol, but not more often than every few seconds.
     void log_if_unexpected(Status status, const std::string& target, const net::ClientReply& reply);
     void send_lease_request(const char* method, const std::string& target, std::string body,
