Submissions: the size of a record is always known

The whole submission was found to be UTF-8 just before, so the record of its known fields has a size. No change of behaviour: the tests of submissions and recorded bytes pass.

--- a/src/api/job_request_handler.cpp
+++ b/src/api/job_request_handler.cpp
@@ -61,8 +61,8 @@
     if (!spec) return failure(kBadRequest, spec.error().message());
     if (!wire::json_size(*map)) return failure(kBadRequest, "text is to be UTF-8");
     Json open_record = jobs::encode_open_record(wire::known_job_fields(*map), wall_ms, false);
-    const auto size = wire::json_size(open_record);
-    if (!size || static_cast<double>(*size) > max_value_kb * kBytesPerKilobyte)
+    const auto size = static_cast<double>(wire::json_size(open_record).value());
+    if (size > max_value_kb * kBytesPerKilobyte)
         return failure(kBadRequest, "the description is too long");
     return Submission{std::move(*spec), std::move(open_record)};
 }
