--- a/tests/controller_parts_test.cpp
+++ b/tests/controller_parts_test.cpp
@@ -11,6 +11,7 @@
 #include "controller/term_loader.h"
 #include "net/address.h"
 #include "tests/emulator.h"
+#include "tests/event_loop.h"
 #include "tests/reserved_ports.h"
 
 namespace {
@@ -23,21 +24,12 @@
 using controller::TermRecords;
 using wire::Json;
 
-struct ControllerPartsOnLoopback : testing::Test {
+struct ControllerPartsOnLoopback : testing::Test, test::EventLoop {
     ControllerPartsOnLoopback() {
-        uv_loop_init(&loop);
         store = std::make_unique<test::StateServiceEmulator>(&loop, store_address);
         client = std::make_unique<kvstore::Client>(&loop, *net::parse_address(store_address),
                                                    "store", kvstore::RateLimits{1000, 1000});
     }
-    ~ControllerPartsOnLoopback() override {
-        client.reset();
-        store.reset();
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_loop_close(&loop);
-    }
-    bool until(const std::function<bool()>& condition) { return test::run_until(&loop, condition); }
     // Writes the value, or deletes the key if there is no value.
     void write(const std::string& key, std::optional<Json> value) {
         kvstore::Transaction transaction;
@@ -51,7 +43,6 @@
         EXPECT_TRUE(until([&] { return done; }));
     }
 
-    uv_loop_t loop;
     const test::ReservedPorts ports{2};
     const std::string store_address = ports.address(0),
                       unreachable_cloud_address = ports.address(1);
--- a/tests/ctl_service.h
+++ b/tests/ctl_service.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "net/http_server.h"
+#include "tests/event_loop.h"
 #include "tests/reserved_ports.h"
 
 namespace nickelramp::test {
@@ -23,7 +24,6 @@
 class CtlService {
   public:
     CtlService();
-    ~CtlService();
     CtlService(const CtlService&) = delete;
     CtlService& operator=(const CtlService&) = delete;
 
@@ -37,7 +37,7 @@
 
   private:
     const ReservedPorts port_;
-    uv_loop_t loop_;
+    EventLoop event_loop_;
     std::unique_ptr<net::HttpServer> server_;
 };
 
--- a/tests/golden_http_test.cpp
+++ b/tests/golden_http_test.cpp
@@ -10,6 +10,7 @@
 #include "net/address.h"
 #include "net/stream.h"
 #include "tests/emulator.h"
+#include "tests/event_loop.h"
 #include "tests/golden.h"
 #include "tests/golden_loopback.h"
 #include "tests/reserved_ports.h"
@@ -24,14 +25,8 @@
 // The address of workers in recorded requests.
 constexpr const char* kRecordedAddress = "127.0.0.1:39320";
 
-class GoldenHttp : public test::golden::Recorded {
+class GoldenHttp : public test::golden::Recorded, protected test::EventLoop {
   protected:
-    GoldenHttp() { uv_loop_init(&loop); }
-    ~GoldenHttp() override {
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_loop_close(&loop);
-    }
     // Records the bytes of the single request that `send` makes. It is answered with an empty 200.
     template <typename Send>
     void request(const std::string& entry, Send send) {
@@ -52,7 +47,6 @@
     }
     const test::ReservedPorts port;
     const std::string address = port.address();
-    uv_loop_t loop;
 };
 
 TEST_F(GoldenHttp, RequestsToTheStateServiceKeepTheirBytes) {
--- a/tests/golden_program_test.cpp
+++ b/tests/golden_program_test.cpp
@@ -14,6 +14,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "tests/emulator.h"
+#include "tests/event_loop.h"
 #include "tests/golden.h"
 #include "tests/golden_samples.h"
 #include "tests/reserved_ports.h"
@@ -114,13 +115,12 @@
 }
 
 // One controller that becomes leader, with a cloud that has machine types but no machines.
-class GoldenController : public test::golden::Recorded {
+class GoldenController : public test::golden::Recorded, protected test::EventLoop {
   protected:
     GoldenController()
         : folder(std::filesystem::temp_directory_path() /
                  ("nickelramp-golden-" + std::to_string(getpid()))) {
         std::filesystem::create_directories(folder);
-        uv_loop_init(&loop);
         state = std::make_unique<test::StateServiceEmulator>(&loop, state_address);
         cloud = std::make_unique<net::HttpServer>(
             &loop, 8, [this](const net::Request& q, const net::Responder& r) { on_cloud(q, r); });
@@ -139,12 +139,6 @@
     }
     ~GoldenController() override {
         controllers.reset();
-        user.reset();
-        cloud.reset();
-        state.reset();
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_loop_close(&loop);
         std::filesystem::remove_all(folder);
     }
     void on_cloud(const net::Request& q, const net::Responder& r) {
@@ -186,7 +180,6 @@
     const test::ReservedPorts service_ports{2}, controller_ports{2};
     const std::string state_address = service_ports.address(0),
                       cloud_address = service_ports.address(1);
-    uv_loop_t loop;
     std::unique_ptr<test::StateServiceEmulator> state;
     std::unique_ptr<net::HttpServer> cloud;
     std::unique_ptr<emulator::ControllerProcesses> controllers;
--- a/tests/loopback_test.cpp
+++ b/tests/loopback_test.cpp
@@ -14,6 +14,7 @@
 #include "tests/byte_exchange.h"
 #include "tests/cluster_simulation.h"
 #include "tests/emulator.h"
+#include "tests/event_loop.h"
 #include "tests/reserved_ports.h"
 
 namespace {
@@ -21,15 +22,7 @@
 using namespace nickelramp;
 using wire::Json;
 
-struct Loopback : testing::Test {
-    uv_loop_t loop;
-    Loopback() { uv_loop_init(&loop); }
-    ~Loopback() override {
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_loop_close(&loop);
-    }
-    bool until(const std::function<bool()>& condition) { return test::run_until(&loop, condition); }
+struct Loopback : testing::Test, test::EventLoop {
     // Sends one request and returns the reply.
     net::ClientReply ask(net::HttpClient& client, const char* method, const std::string& path,
                          const std::string& body = "") {
--- a/tests/reserved_ports_test.cpp
+++ b/tests/reserved_ports_test.cpp
@@ -12,7 +12,7 @@
 #include <system_error>
 
 #include "net/address.h"
-#include "tests/emulator.h"
+#include "tests/event_loop.h"
 
 namespace {
 
@@ -42,15 +42,9 @@
     const test::ReservedPorts ports;
     EXPECT_EQ(Socket().connect(ports.address()), ECONNREFUSED);
     EXPECT_EQ(Socket().bind(ports.address()), EADDRINUSE);
-    uv_loop_t loop;
-    uv_loop_init(&loop);
-    {
-        const test::StateServiceEmulator server(&loop, ports.address());
-        EXPECT_EQ(Socket().connect(ports.address()), 0);
-    }
-    uv_run(&loop, UV_RUN_NOWAIT);
-    uv_run(&loop, UV_RUN_NOWAIT);
-    uv_loop_close(&loop);
+    test::EventLoop events;
+    const test::StateServiceEmulator server(&events.loop, ports.address());
+    EXPECT_EQ(Socket().connect(ports.address()), 0);
 }
 
 TEST(ReservedPorts, AreConsecutiveAndDifferBetweenOwners) {
@@ -67,21 +61,15 @@
 // A server that cannot listen says so, instead of ending the process without a message.
 TEST(ReservedPorts, AServerThatCannotListenNamesTheAddress) {
     const test::ReservedPorts ports;
-    uv_loop_t loop;
-    uv_loop_init(&loop);
-    {
-        const test::StateServiceEmulator first(&loop, ports.address());
-        try {
-            const test::StateServiceEmulator second(&loop, ports.address());
-            ADD_FAILURE() << "two servers listen on one port";
-        } catch (const std::system_error& error) {
-            EXPECT_EQ(error.code(), std::errc::address_in_use);
-            EXPECT_NE(std::string(error.what()).find(ports.address()), std::string::npos);
-        }
+    test::EventLoop events;
+    const test::StateServiceEmulator first(&events.loop, ports.address());
+    try {
+        const test::StateServiceEmulator second(&events.loop, ports.address());
+        ADD_FAILURE() << "two servers listen on one port";
+    } catch (const std::system_error& error) {
+        EXPECT_EQ(error.code(), std::errc::address_in_use);
+        EXPECT_NE(std::string(error.what()).find(ports.address()), std::string::npos);
     }
-    uv_run(&loop, UV_RUN_NOWAIT);
-    uv_run(&loop, UV_RUN_NOWAIT);
-    uv_loop_close(&loop);
 }
 
 }  // namespace
--- a/tests/stored_submissions_test.cpp
+++ b/tests/stored_submissions_test.cpp
@@ -18,6 +18,7 @@
 #include "net/address.h"
 #include "tests/cluster_simulation.h"
 #include "tests/emulator.h"
+#include "tests/event_loop.h"
 #include "tests/reserved_ports.h"
 
 namespace {
@@ -87,24 +88,13 @@
 }
 
 // A watch of the open jobs as the leader has it, against the emulated state service.
-struct OpenJobsOnLoopback : testing::Test, controller::OpenJobWatcher::Listener {
-    uv_loop_t loop;
-    OpenJobsOnLoopback() { uv_loop_init(&loop); }
-    ~OpenJobsOnLoopback() override {
-        watcher.reset();
-        client.reset();
-        emulator.reset();
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_run(&loop, UV_RUN_NOWAIT);
-        uv_loop_close(&loop);
-    }
+struct OpenJobsOnLoopback : testing::Test, test::EventLoop, controller::OpenJobWatcher::Listener {
     void SetUp() override {
         emulator = std::make_unique<test::StateServiceEmulator>(&loop, ports.address());
         client = std::make_unique<kvstore::Client>(&loop, *net::parse_address(ports.address()),
                                                    "state", kvstore::RateLimits{5'000, 5'000});
         watcher = std::make_unique<controller::OpenJobWatcher>(clock, *client, *this);
     }
-    bool until(const std::function<bool()>& condition) { return test::run_until(&loop, condition); }
 
     // Writes a record that contains the whole submission, as earlier versions did.
     void write(const Json& body) {
