Limit the nesting of JSON from the network

What users saw: a JSON answer that is nested a million levels deep ended nickelrampctl with a stack overflow.

Cause: reading JSON does not recurse, but copying and printing a value do, once per level. The limit for CBOR bodies did not apply to JSON.

Change: wire::decode_json refuses JSON texts of more than 2,048 levels. nickelrampctl uses it for answers and values, and the controllers for bodies of the administration API, which copied nothing of them before.

--- a/src/admin/request_handler.cpp
+++ b/src/admin/request_handler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "admin/json_response.h"
+#include "wire/json_text.h"
 
 namespace nickelramp::admin {
 
@@ -98,8 +99,8 @@
 
 void AdminRequestHandler::handle_option_change(const Option& option, const net::Request& request,
                                                const net::Responder& responder) {
-    const Json body = Json::parse(request.body, nullptr, false);
-    const Json* value = wire::field(body, "value");
+    const auto body = wire::decode_json(request.body);
+    const Json* value = body ? wire::field(*body, "value") : nullptr;
     if (value == nullptr) {
         responder.send(invalid_value(option, "value is missing"));
         return;
--- a/src/ctl/program.cpp
+++ b/src/ctl/program.cpp
@@ -12,6 +12,7 @@
 #include "ctl/controller_client.h"
 #include "ctl/show.h"
 #include "drain/plan.h"
+#include "wire/json_text.h"
 #include "wire/messages.h"
 
 namespace nickelramp::ctl {
@@ -139,8 +140,8 @@
     std::optional<Json> read(const ControllerReply& a) {
         if (!check_reply(a)) return std::nullopt;
         if (auto map = wire::decode_reply_map(a.body)) return map;
-        Json body = Json::parse(a.body, nullptr, false);
-        if (body.is_object()) return body;
+        auto body = wire::decode_json(a.body);
+        if (body && body->is_object()) return body;
         err_ << "the answer cannot be read\n";
         exit_code_ = kExitNoAnswer;
         return std::nullopt;
@@ -343,8 +344,9 @@
         }
         if (settings->parsed() && !c.setting.empty()) {
             if (c.value.empty()) throw std::runtime_error("settings: a name needs a value");
-            value = Json::parse(c.value, nullptr, false);
-            if (value.is_discarded()) throw std::runtime_error("'" + c.value + "' is no value");
+            const auto decoded = wire::decode_json(c.value);
+            if (!decoded) throw std::runtime_error("'" + c.value + "' is no value");
+            value = *decoded;
         }
     } catch (const CLI::ParseError& e) {
         return cli.exit(e, out, err) == 0 ? kExitOk : kExitUsage;
--- a/src/ctl/show.cpp
+++ b/src/ctl/show.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "wire/json_text.h"
+
 namespace nickelramp::ctl {
 
 using wire::Json;
@@ -159,7 +161,7 @@
 }
 
 std::string error_text(int status, const std::string& body) {
-    Json answer = Json::parse(body, nullptr, false);
+    Json answer = wire::decode_json(body).value_or(Json());
     if (!answer.is_object()) answer = wire::decode_reply_map(body).value_or(Json::object());
     std::string out = fmt::format("the service says {}", status);
     if (wire::field(answer, "error") != nullptr) out += ": " + cell(answer, "error");
--- a/src/drain/request_handler.cpp
+++ b/src/drain/request_handler.cpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "admin/json_response.h"
+#include "wire/json_text.h"
 
 namespace nickelramp::drain {
 
@@ -20,7 +21,7 @@
 
 Response request_plan(const net::Request& http_request, Planner& planner) {
     std::string field;
-    auto request = parse_request(Json::parse(http_request.body, nullptr, false), field);
+    auto request = parse_request(wire::decode_json(http_request.body).value_or(Json()), field);
     if (!request) return json(400, {{"error", "missing or invalid"}, {"field", field}});
     switch (planner.request_plan(*request)) {
         case Planner::RequestResult::accepted:
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -210,6 +210,23 @@
                                                      "GET /admin/plans/up"}));
 }
 
+// Guards against printing an answer that is nested so deeply that it takes more than the stack.
+TEST_F(CtlOnLoopback, DeeplyNestedAnswersAreNotRead) {
+    constexpr std::size_t kLevels = 1'000'000;
+    const std::string nested =
+        R"({"id": )" + std::string(kLevels, '[') + std::string(kLevels, ']') + "}";
+    answers = {{200, nested, 0, "application/json"}};
+    EXPECT_EQ(ctl({"--json", "--controller", service_address, "status"}), ctl::kExitNoAnswer);
+    EXPECT_EQ(err_output, "the answer cannot be read\n");
+    const std::string shallower =
+        R"({"id": )" + std::string(2'000, '[') + std::string(2'000, ']') + "}";
+    answers = {{200, shallower, 0, "application/json"}};
+    EXPECT_EQ(ctl({"--json", "--controller", service_address, "settings"}), ctl::kExitOk);
+    answers = {{422, R"({"error": )" + nested + "}", 0, "application/json"}};
+    EXPECT_EQ(ctl({"--controller", service_address, "settings"}), ctl::kExitRejected);
+    EXPECT_EQ(err_output, "the service says 422\n");
+}
+
 TEST_F(CtlOnLoopback, ReportsThatNoControllerAnswers) {
     EXPECT_EQ(ctl({"--controller", closed_address, "--give-up", "1", "show", "job-5"}),
               ctl::kExitNoAnswer);
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -8,11 +8,13 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "admin/options.h"
 #include "api/confirmed_reads.h"
 #include "autoscaling/intent_log.h"
+#include "drain/plan.h"
 #include "jobs/job_records.h"
 #include "kvstore/protocol.h"
 #include "lease/role.h"
@@ -20,6 +22,7 @@
 #include "peers/messages.h"
 #include "shards/shard_lease_table.h"
 #include "tests/golden_samples.h"
+#include "wire/json_text.h"
 #include "wire/messages.h"
 
 namespace {
@@ -146,6 +149,36 @@
     }
 }
 
+TEST(DecoderFuzz, DeeplyNestedJsonIsRefused) {
+    for (const auto& [opening, closing] :
+         {std::pair{"[", "]"}, std::pair{R"({"a":)", "}"}, std::pair{R"([{"a":)", "}]"}}) {
+        const std::size_t levels_each = std::string(closing).size();
+        auto text = [&](std::size_t levels) {
+            std::string nested = "1";
+            for (std::size_t level = 0; level < levels; level += levels_each)
+                nested.insert(0, opening).append(closing);
+            return nested;
+        };
+        EXPECT_TRUE(wire::decode_json(text(wire::kMaxRequestDepth))) << opening;
+        EXPECT_FALSE(wire::decode_json(text(wire::kMaxRequestDepth + 2))) << opening;
+        EXPECT_FALSE(wire::decode_json(text(kRequestBytes))) << opening;
+    }
+    EXPECT_FALSE(wire::decode_json(std::string(kReplyBytes, '[')));
+}
+
+TEST(DecoderFuzz, MutatedJsonNeverCrashes) {
+    std::minstd_rand random(9);
+    const std::string sample =
+        Json{{"value", 2.5}, {"id", "up"}, {"machines", {"m-1", "m-2"}}, {"all", true}}.dump();
+    for (int round = 0; round < 10 * rounds(); ++round) {
+        std::string mutated = sample;
+        for (int change = 0; change < kChangesPerMutation; ++change)
+            mutated[random() % mutated.size()] = static_cast<char>(random());
+        std::string field;
+        static_cast<void>(drain::parse_request(wire::decode_json(mutated).value_or(Json()), field));
+    }
+}
+
 TEST(DecoderFuzz, MutatedMessagesNeverCrash) {
     std::minstd_rand random(5);
     for (const std::string& sample : samples()) {
