--- a/src/api/job_request_handler.cpp
+++ b/src/api/job_request_handler.cpp
@@ -50,7 +50,8 @@
     Json open_record;
 };
 
-// Parses a submission. The error is the response to an invalid one.
+// Parses a submission. The error is the response to an invalid one. Unknown fields are ignored:
+// they are not stored and do not count towards the size limit.
 Result<Submission, Response> read_submission(const std::string& body, std::int64_t wall_ms,
                                              double max_value_kb) {
     const auto map = wire::decode_map(body);
@@ -58,10 +59,10 @@
         return failure(kBadRequest, "the body is no CBOR map of plain values");
     auto spec = wire::parse_job(*map);
     if (!spec) return failure(kBadRequest, spec.error().message());
-    Json open_record = jobs::encode_open_record(*map, wall_ms, false);
+    if (!wire::json_size(*map)) return failure(kBadRequest, "text is to be UTF-8");
+    Json open_record = jobs::encode_open_record(wire::known_job_fields(*map), wall_ms, false);
     const auto size = wire::json_size(open_record);
-    if (!size) return failure(kBadRequest, "text is to be UTF-8");
-    if (static_cast<double>(*size) > max_value_kb * kBytesPerKilobyte)
+    if (!size || static_cast<double>(*size) > max_value_kb * kBytesPerKilobyte)
         return failure(kBadRequest, "the description is too long");
     return Submission{std::move(*spec), std::move(open_record)};
 }
--- a/src/wire/job_messages.cpp
+++ b/src/wire/job_messages.cpp
@@ -20,6 +20,28 @@
 constexpr std::size_t kJobIdPrefixLength = 4;
 constexpr std::size_t kMaxJobIdLength = 40;
 
+// All fields that parse_job reads.
+constexpr std::array<const char*, 20> kJobFields{"id",
+                                                 names::kJobClass,
+                                                 names::kTeam,
+                                                 "shape",
+                                                 names::kPriority,
+                                                 names::kTasks,
+                                                 names::kCpus,
+                                                 names::kGpus,
+                                                 "mem_gb",
+                                                 names::kImage,
+                                                 names::kImageSize,
+                                                 names::kMachineTypes,
+                                                 names::kZone,
+                                                 "one_zone",
+                                                 names::kSpread,
+                                                 names::kSpot,
+                                                 names::kEstimate,
+                                                 names::kCheckpointInterval,
+                                                 names::kCheckpointDuration,
+                                                 names::kDeadline};
+
 // Names in the protocol, in the order of the enumerators.
 constexpr std::array<const char*, 3> kShapes{"sweep", "ensemble", "standing"};
 constexpr std::array<const char*, 4> kPriorities{"best_effort", "normal", "urgent", "prod"};
@@ -131,6 +153,14 @@
     return spec;
 }
 
+Json known_job_fields(const Json& body) {
+    Json known = Json::object();
+    for (const char* name : kJobFields) {
+        if (const auto found = body.find(name); found != body.end()) known[name] = *found;
+    }
+    return known;
+}
+
 Json encode_job_answer(const std::string& id, JobStatus status,
                        const std::optional<TaskCounts>& counts) {
     Json answer = {{"id", id}, {"status", name_of(kStatuses, status)}};
--- a/src/wire/job_messages.h
+++ b/src/wire/job_messages.h
@@ -62,6 +62,10 @@
 /// open jobs and by nickelrampctl.
 Result<JobSpec, JobSpecError> parse_job(const Json& body);
 
+/// Returns the fields of a submission that `parse_job` reads, as the user sent them. Only these are
+/// kept in the record of the job.
+Json known_job_fields(const Json& body);
+
 enum class JobStatus : std::uint8_t { pending, running, done, cancelled };
 /// Numbers of a job's tasks by state.
 struct TaskCounts {
