Forget an attempt only under a higher token than its start

A task that had failed on one machine and was started on another ran on the first again when a copy of the answered start command arrived there.

Cause: an answer to a start command was taken as proof that nothing of it was in flight any more. The worker forgets an attempt on command, and its token was still that of the start, so it carried a copy out as if it were new. The same conclusion was drawn when an answered attempt was missing in a report of a worker that had begun anew.

Change: control::CommandFence decides when nothing that was sent for an attempt can take effect: the worker has seen a higher token than that of every start, or has a later incarnation; answers no longer count. A forget command goes out only under a higher token, which it brings along in the same reply, so a rise costs no message, no write, and no wait: starts may follow under the new token at once, and the token does not rise while a direct message is in flight. Commands that a higher token overtakes (409) are sent again at once and count as neither lost nor failed. An attempt that an answered start has begun and that is missing in a report is taken for gone once the worker has echoed a higher token. The 12 bits of a grant: when they are used up, a leader's machine gets an unrecorded grant of its own, above all grants so far and below all later ones; a shard holder reports the machine, and the leader takes the shard back under a new grant; a leader without grants ends its term. The layout of tokens stays, so older controllers beside this one compare them as before. Log lines name the tokens of starts, of forget commands and of conclusions; a worker that reports an attempt which has ended is a warning; nickelramp_rejected_commands_total counts rejected messages by reason.

Why it works: the worker takes the token in before it executes the forget command of the same message. Before that the attempt is listed, and a copy has no effect; after it the copy is rejected, whenever and from wherever it comes.

--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -28,6 +28,10 @@
                         .Name("nickelramp_finish_seconds")
                         .Help("From a job's acceptance to its end")
                         .Register(registry_)),
+      rejected_commands_(prometheus::BuildCounter()
+                             .Name("nickelramp_rejected_commands_total")
+                             .Help("Direct messages that workers rejected, by reason")
+                             .Register(registry_)),
       gauges_(prometheus::BuildGauge()
                   .Name("nickelramp_now")
                   .Help("What the leader has: machines by state, jobs, tasks")
@@ -46,6 +50,10 @@
     finish_delay_.Add({{"class", job_class}}, kSecondBuckets).Observe(seconds);
 }
 
+void Metrics::record_rejected_commands(const char* reason) {
+    rejected_commands_.Add({{"reason", reason}}).Increment();
+}
+
 void Metrics::set_gauge(const char* name, const std::string& label, double value) {
     gauges_.Add({{"of", name}, {"state", label}}).Set(value);
 }
--- a/src/admin/metrics.h
+++ b/src/admin/metrics.h
@@ -24,6 +24,8 @@
     void record_start(const std::string& job_class, double seconds);
     /// Records the time from a job's acceptance to its end.
     void record_finish(const std::string& job_class, double seconds);
+    /// Records that a worker rejected a direct message.
+    void record_rejected_commands(const char* reason);
     /// Sets `nickelramp_now{of=name, state=label}`.
     void set_gauge(const char* name, const std::string& label, double value);
     /// Returns all metrics in the Prometheus text format.
@@ -35,6 +37,7 @@
     prometheus::Family<prometheus::Histogram>& answer_duration_;
     prometheus::Family<prometheus::Histogram>& start_delay_;
     prometheus::Family<prometheus::Histogram>& finish_delay_;
+    prometheus::Family<prometheus::Counter>& rejected_commands_;
     prometheus::Family<prometheus::Gauge>& gauges_;
 };
 
--- a/src/cluster/cluster_attempts.cpp
+++ b/src/cluster/cluster_attempts.cpp
@@ -169,14 +169,17 @@
     if (Machine* machine = machine_of(attempt)) actions_.queue_commands(*machine);
 }
 
-void ClusterState::attempt_start_sent(Attempt& attempt, const Machine& machine, Millis now) {
+void ClusterState::attempt_start_sent(Attempt& attempt, Machine& machine, Millis now) {
     set_attempt_state(attempt, AttemptState::starting, now);
-    attempt.token = machine.token;
+    attempt.token = machine.last_start_token = machine.token;
     attempt.incarnation = machine.channel.incarnation();
-    attempt.start_reply_sequence = 0;
+    attempt.start_answered = false;
+    spdlog::debug("job={} task={} attempt={} start sent to machine={} token={} incarnation={}",
+                  job_of(attempt).spec.id, attempt.task, attempt.number, machine.name,
+                  attempt.token, attempt.incarnation);
 }
 
-void ClusterState::attempt_start_not_delivered(Attempt& attempt, Millis now) {
+void ClusterState::attempt_start_not_executed(Attempt& attempt, Millis now) {
     if (attempt.state == AttemptState::starting)
         set_attempt_state(attempt, AttemptState::recorded, now);
 }
--- a/src/cluster/cluster_machines.cpp
+++ b/src/cluster/cluster_machines.cpp
@@ -146,15 +146,21 @@
 }
 
 void ClusterState::take_control(Machine& machine, std::uint64_t token, Millis reached) {
-    machine.token = token;
+    machine.token = machine.token_to_confirm = token;
     machine.channel.take_control(token, reached);
     machine.token_confirmation_pending = true;
 }
 
 void ClusterState::raise_token(Machine& machine, std::uint64_t token, Millis now) {
+    advance_token(machine, token, now);
+    machine.token_to_confirm = token;
+    machine.token_confirmation_pending = true;
+}
+
+void ClusterState::advance_token(Machine& machine, std::uint64_t token, Millis now) {
+    spdlog::debug("machine={} token {} -> {}", machine.name, machine.token, token);
     machine.token = token;
     machine.channel.raise_token(token, now);
-    machine.token_confirmation_pending = true;
 }
 
 void ClusterState::set_suspected(Machine& machine, bool suspected) {
--- a/src/cluster/cluster_state.cpp
+++ b/src/cluster/cluster_state.cpp
@@ -58,11 +58,6 @@
     return tasks_by_zone;
 }
 
-bool ClusterState::absence_is_conclusive(const Attempt& attempt, const Machine& machine) {
-    return machine.channel.token() > attempt.token || attempt.start_reply_sequence != 0 ||
-           machine.channel.newest_proven().incarnation > attempt.incarnation;
-}
-
 std::vector<Index> ClusterState::take_due(DeadlineQueue& deadlines, Millis now) {
     std::vector<Index> due;
     for (Index i = deadlines.pop_due(now); i != kNone; i = deadlines.pop_due(now)) due.push_back(i);
--- a/src/cluster/cluster_state.h
+++ b/src/cluster/cluster_state.h
@@ -117,10 +117,6 @@
     }
     [[nodiscard]] std::size_t unverified_machine_count() const { return unverified_machine_count_; }
 
-    /// Returns whether a heartbeat that does not list the attempt proves that it is gone. It does
-    /// not while a start command for the attempt may still arrive.
-    [[nodiscard]] static bool absence_is_conclusive(const Attempt& attempt, const Machine& machine);
-
     // --- requests to the scheduler
 
     /// Returns whether anything that affects placement has changed.
@@ -194,9 +190,10 @@
     void attempt_not_committed(Attempt& attempt);
     /// Notes that its checkpoint is committed. The start command may now be sent.
     void attempt_recorded(Attempt& attempt, Millis now);
-    void attempt_start_sent(Attempt& attempt, const Machine& machine, Millis now);
-    /// Notes that the start command certainly did not arrive.
-    void attempt_start_not_delivered(Attempt& attempt, Millis now);
+    void attempt_start_sent(Attempt& attempt, Machine& machine, Millis now);
+    /// Notes that the start command was not executed and never will be: it did not leave, or the
+    /// worker rejects its token from now on. It may be sent again.
+    void attempt_start_not_executed(Attempt& attempt, Millis now);
     /// Applies the attempt's entry in a heartbeat of its machine.
     void apply_task_report(Attempt& attempt, const wire::TaskReport& task, Machine& machine,
                            Millis now);
@@ -232,8 +229,12 @@
     /// Takes control of the machine for this term under the token. `reached` is the `reached_at` of
     /// WorkerChannel::take_control().
     void take_control(Machine& machine, std::uint64_t token, Millis reached);
-    /// Replaces the token by a higher one, so that commands in flight have no effect.
+    /// Replaces the token by a higher one, so that commands in flight have no effect. Start
+    /// commands are sent once the worker has confirmed it.
     void raise_token(Machine& machine, std::uint64_t token, Millis now);
+    /// Replaces the token by a higher one for all messages from now on. Unlike after raise_token(),
+    /// the worker need not confirm it first.
+    void advance_token(Machine& machine, std::uint64_t token, Millis now);
     /// Marks whether the machine is suspected because its zone is lost. Nothing is placed on it
     /// until a heartbeat or reply is received from it again.
     void set_suspected(Machine& machine, bool suspected);
--- a/src/cluster/release_reason.cpp
+++ b/src/cluster/release_reason.cpp
@@ -28,6 +28,8 @@
             return "has failed";
         case ReleaseReason::fails_tasks:
             return "fails tasks of several jobs";
+        case ReleaseReason::out_of_tokens:
+            return "has used all fencing tokens of its grant";
     }
     return "?";
 }
--- a/src/cluster/release_reason.h
+++ b/src/cluster/release_reason.h
@@ -17,6 +17,7 @@
     released_earlier,    ///< an earlier term began to release it
     failed,              ///< the cloud lists it as failed
     fails_tasks,         ///< tasks of several jobs failed on it
+    out_of_tokens,       ///< all fencing tokens of its grant are used; only in a shard
 };
 
 /// Returns the reason as a predicate that completes a sentence about the machine, such as "is
--- a/src/control/command_sender.cpp
+++ b/src/control/command_sender.cpp
@@ -47,6 +47,10 @@
 }
 }  // namespace
 
+const char* name(CommandRejection rejection) {
+    return rejection == CommandRejection::token ? "token" : "incarnation";
+}
+
 void CommandSender::queue(Machine& machine) {
     if (machine.commands_queued) return;
     machine.commands_queued = true;
@@ -70,53 +74,65 @@
     queue(machine);
 }
 
-void CommandSender::raise_token(Machine& machine, Millis now) {
-    constexpr std::uint64_t kMaxRaises = (std::uint64_t{1} << shards::kGrantShift) - 1;
-    // All tokens of the grant were used up by thousands of lost messages. The failure detector
-    // decides what happens to such a machine.
-    if ((machine.token & kMaxRaises) == kMaxRaises) return;
-    cluster_.raise_token(machine, machine.token + 1, now);
-}
-
 // --- commands in heartbeat replies
 
-std::vector<Command> CommandSender::commands_for_reply(const Machine& machine,
-                                                       const wire::Heartbeat& heartbeat) {
+std::vector<Command> CommandSender::commands_for_reply(Machine& machine,
+                                                       const wire::Heartbeat& heartbeat,
+                                                       Millis now) {
+    const std::vector<wire::TaskReport> unknown = unknown_tasks(machine, heartbeat);
+    // The worker would reject a direct message that a higher token overtakes.
+    if (!machine.command_in_flight && needs_higher_token(machine, unknown))
+        fence_.advance_token(machine, now);
     std::vector<Command> commands = pending_commands(machine);
-    add_commands_for_unknown_tasks(machine, heartbeat, commands);
+    add_commands_for_unknown_tasks(machine, unknown, commands);
     return commands;
 }
 
+// Returns whether the present token is too low for a forget command that is due.
+bool CommandSender::needs_higher_token(const Machine& machine,
+                                       const std::vector<wire::TaskReport>& unknown) const {
+    const bool for_unknown = !CommandFence::may_forget_unknown(machine) &&
+                             std::any_of(unknown.begin(), unknown.end(), [](const auto& task) {
+                                 return task.phase == wire::TaskPhase::exited;
+                             });
+    return for_unknown ||
+           std::any_of(
+               machine.attempts.begin(), machine.attempts.end(), [&](const Attempt* attempt) {
+                   return forget_is_due(*attempt) && !CommandFence::may_forget(*attempt, machine);
+               });
+}
+
+// The worker keeps a completion until it is in a committed checkpoint.
+bool CommandSender::forget_is_due(const Attempt& attempt) const {
+    return !attempt.live() && (attempt.cause != wire::ExitCause::done ||
+                               completion_recorded(cluster_.job_of(attempt), attempt));
+}
+
 // Returns the stop and forget commands that no heartbeat has shown as executed yet.
 std::vector<Command> CommandSender::pending_commands(const Machine& machine) const {
     std::vector<Command> commands;
     for (const Attempt* attempt : machine.attempts) {
         if (commands.size() >= kMaxCommandsPerMessage) break;
         const Job& job = cluster_.job_of(*attempt);
-        if (attempt->live()) {
-            if (attempt->stop_requested)
-                commands.push_back(
-                    command_for(Command::Op::stop, job, *attempt, attempt->stop_grace_s));
-            continue;
-        }
-        // While a start command of the attempt may still be in flight, the worker must not forget
-        // the attempt, or it would run the task again.
-        if (!cluster::ClusterState::absence_is_conclusive(*attempt, machine)) continue;
-        // The worker keeps a completion until it is in a committed checkpoint.
-        if (attempt->cause == wire::ExitCause::done && !completion_recorded(job, *attempt))
-            continue;
+        if (attempt->live() && attempt->stop_requested)
+            commands.push_back(
+                command_for(Command::Op::stop, job, *attempt, attempt->stop_grace_s));
+        if (!forget_is_due(*attempt) || !CommandFence::may_forget(*attempt, machine)) continue;
+        spdlog::debug(
+            "job={} task={} attempt={} forget sent to machine={} token={} started under={}",
+            job.spec.id, attempt->task, attempt->number, machine.name, machine.token,
+            attempt->token);
         commands.push_back(command_for(Command::Op::forget, job, *attempt));
     }
     return commands;
 }
 
-// Adds commands for tasks that are not in the cluster state because they were started in an earlier
-// term or have already ended.
-void CommandSender::add_commands_for_unknown_tasks(const Machine& machine,
-                                                   const wire::Heartbeat& heartbeat,
-                                                   std::vector<Command>& commands) const {
+// Returns the reported tasks that are not in the cluster state because they were started in an
+// earlier term or have already ended.
+std::vector<wire::TaskReport> CommandSender::unknown_tasks(const Machine& machine,
+                                                           const wire::Heartbeat& heartbeat) const {
+    std::vector<wire::TaskReport> unknown;
     for (const wire::TaskReport& task : heartbeat.tasks) {
-        if (commands.size() >= kMaxCommandsPerMessage) return;
         const bool known = std::any_of(
             machine.attempts.begin(), machine.attempts.end(),
             [&](const Attempt* attempt) { return is_report_of(task, *attempt, cluster_); });
@@ -126,10 +142,23 @@
         if (const Job* job = cluster_.job(task.job);
             job != nullptr && job->delegated_shard != kNone)
             continue;
+        unknown.push_back(task);
+    }
+    return unknown;
+}
+
+void CommandSender::add_commands_for_unknown_tasks(const Machine& machine,
+                                                   const std::vector<wire::TaskReport>& unknown,
+                                                   std::vector<Command>& commands) const {
+    for (const wire::TaskReport& task : unknown) {
+        if (commands.size() >= kMaxCommandsPerMessage) return;
         const bool exited = task.phase == wire::TaskPhase::exited;
+        if (exited && !CommandFence::may_forget_unknown(machine)) continue;
         if (!exited)
-            spdlog::info("stopping unknown task job={} task={} attempt={} machine={}", task.job,
-                         task.task, task.attempt, machine.name);
+            spdlog::warn(
+                "stopping task that has ended or was never recorded job={} task={} attempt={} "
+                "machine={} token={}",
+                task.job, task.task, task.attempt, machine.name, machine.channel.token());
         commands.push_back({exited ? Command::Op::forget : Command::Op::stop, task.job, task.task,
                             task.attempt, 0});
     }
@@ -248,12 +277,22 @@
                                 bool executed, Millis now) {
     lost_command_machines_.clear();
     machine.command_failures = 0;
+    if (!executed) {
+        const CommandRejection rejection =
+            state.token > token ? CommandRejection::token : CommandRejection::incarnation;
+        spdlog::info("machine={} rejected commands reason={} token={} worker token={}",
+                     machine.name, name(rejection), token, state.token);
+        listener_.on_commands_rejected(rejection);
+    }
+    // A higher token of this term reached the worker first.
+    const bool overtaken = !executed && state.token > token && state.token <= machine.token;
     for (Attempt* attempt : machine.attempts) {
+        if (overtaken) attempt->stop_sent = false;
         const bool start_was_sent = attempt->state == AttemptState::starting &&
-                                    attempt->token == token && attempt->start_reply_sequence == 0;
-        // Whether the worker executed or rejected the message, it is no longer in flight.
-        if (start_was_sent)
-            attempt->start_reply_sequence = executed ? state.sequence : state.sequence - 1;
+                                    attempt->token == token && !attempt->start_answered;
+        if (!start_was_sent) continue;
+        attempt->start_answered = true;
+        if (overtaken) cluster_.attempt_start_not_executed(*attempt, now);
     }
     listener_.on_command_reply(machine, state, now);
     if (machine.confirmed()) return;
@@ -269,14 +308,14 @@
     ++machine.command_failures;
     record_lost_command(machine, now);
     for (Attempt* attempt : machine.attempts) {
-        if (attempt->token != token || attempt->start_reply_sequence != 0) continue;
-        if (!outcome_unknown) cluster_.attempt_start_not_delivered(*attempt, now);
+        if (attempt->token != token || attempt->start_answered) continue;
+        if (!outcome_unknown) cluster_.attempt_start_not_executed(*attempt, now);
         attempt->stop_sent = false;
     }
     if (outcome_unknown) {
         // The commands may still be in flight. They are fenced once the worker has confirmed the
         // higher token.
-        raise_token(machine, now);
+        fence_.raise_token(machine, now);
         machine.channel.on_command_lost(now);
     }
     // The machine is known only from forwarded or old messages and may no longer exist. It is
--- a/src/control/command_sender.h
+++ b/src/control/command_sender.h
@@ -12,18 +12,28 @@
 #include <vector>
 
 #include "cluster/cluster_state.h"
+#include "control/command_fence.h"
 #include "failure/failure_detector.h"
 #include "wire/messages.h"
 
 namespace nickelramp::control {
 
+/// Why a worker rejected a direct message.
+enum class CommandRejection {
+    token,        ///< it has seen a higher token
+    incarnation,  ///< it has another incarnation
+};
+/// Returns the reason's fixed name in metrics.
+[[nodiscard]] const char* name(CommandRejection rejection);
+
 /// Keeps at most one direct message in flight per machine and a bounded number over all machines.
 ///
 /// A start command is sent only while the lease of the leader or shard holder is confirmed, only
 /// for an attempt whose checkpoint is committed, and only to a machine that has confirmed its
 /// fencing token. After a message of unknown outcome the machine's token is raised, so that the
-/// worker rejects the message if it arrives late. Called by ControlLoop, HeartbeatReconciler and
-/// MachineChecker. Lives as long as the term.
+/// worker rejects the message if it arrives late. A forget command is sent only under a higher
+/// token than the start command, so that the worker rejects late copies of that. Called by
+/// ControlLoop, HeartbeatReconciler and MachineChecker. Lives as long as the term.
 class CommandSender {
   public:
     /// Receives the machine states in command replies. Implemented by ControlLoop.
@@ -33,15 +43,18 @@
         /// Called with the machine's state from the reply to a direct message.
         virtual void on_command_reply(machines::Machine& machine, const wire::Heartbeat& heartbeat,
                                       Millis now) = 0;
+        /// Called when a worker has rejected a direct message.
+        virtual void on_commands_rejected(CommandRejection rejection) = 0;
     };
 
     /// All references must outlive the sender.
     CommandSender(cluster::TermContext& term, cluster::ClusterState& cluster,
-                  cluster::ControlActions& actions,
+                  cluster::ControlActions& actions, CommandFence& fence,
                   const failure::FailureDetector& failure_detector, Listener& listener)
         : term_(term),
           cluster_(cluster),
           actions_(actions),
+          fence_(fence),
           failure_detector_(failure_detector),
           listener_(listener) {}
 
@@ -54,13 +67,11 @@
     /// carries the machine's state and confirms its token.
     void probe(machines::Machine& machine, Millis now);
     /// Returns the stop and forget commands for the reply to `heartbeat`, including those for tasks
-    /// that are not in the cluster state. Returns at most 200 commands.
-    [[nodiscard]] std::vector<wire::Command> commands_for_reply(const machines::Machine& machine,
-                                                                const wire::Heartbeat& heartbeat);
-    /// Issues the machine's next fencing token. Once a message of the worker contains the new
-    /// token, the worker rejects everything that was sent under the old one. Does nothing when the
-    /// grant has no tokens left.
-    void raise_token(machines::Machine& machine, Millis now);
+    /// that are not in the cluster state. Returns at most 200 commands. They are sent under
+    /// `machine.token`, which is advanced first if forget commands need a higher one.
+    [[nodiscard]] std::vector<wire::Command> commands_for_reply(machines::Machine& machine,
+                                                                const wire::Heartbeat& heartbeat,
+                                                                Millis now);
 
     /// Returns when the first command was lost, if since then no command was answered and commands
     /// to at least three machines that still send heartbeats were lost. In that case the fault is
@@ -84,8 +95,13 @@
     [[nodiscard]] std::vector<wire::Command> pending_commands(
         const machines::Machine& machine) const;
     void add_commands_for_unknown_tasks(const machines::Machine& machine,
-                                        const wire::Heartbeat& heartbeat,
+                                        const std::vector<wire::TaskReport>& unknown,
                                         std::vector<wire::Command>& commands) const;
+    [[nodiscard]] std::vector<wire::TaskReport> unknown_tasks(
+        const machines::Machine& machine, const wire::Heartbeat& heartbeat) const;
+    [[nodiscard]] bool needs_higher_token(const machines::Machine& machine,
+                                          const std::vector<wire::TaskReport>& unknown) const;
+    [[nodiscard]] bool forget_is_due(const jobs::Attempt& attempt) const;
 
     void on_command_reply(const std::string& machine_name, std::uint64_t token,
                           const cluster::CommandReply& reply, Millis now);
@@ -99,6 +115,7 @@
     cluster::TermContext& term_;
     cluster::ClusterState& cluster_;
     cluster::ControlActions& actions_;
+    CommandFence& fence_;
     const failure::FailureDetector& failure_detector_;
     Listener& listener_;
     std::vector<Index> queued_;              ///< machines, in the order of queueing
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -41,10 +41,11 @@
                   failure_detector_),
       rebalancer_(term_, cluster_, placement_rules_),
       drain_planner_(term_, cluster_, forecast_, placement_rules_, failure_detector_),
-      command_sender_(term_, cluster_, *this, failure_detector_, *this),
+      command_fence_(term_, cluster_, shard_lease_writer_.table()),
+      command_sender_(term_, cluster_, *this, command_fence_, failure_detector_, *this),
       reachability_monitor_(settings),
-      heartbeat_reconciler_(term_, cluster_, *this, command_sender_, reachability_monitor_,
-                            shard_allocator_, shard_lease_writer_),
+      heartbeat_reconciler_(term_, cluster_, *this, command_fence_, command_sender_,
+                            reachability_monitor_, shard_allocator_, shard_lease_writer_),
       machine_checker_(term_, cluster_, autoscaler_, command_sender_, failure_detector_,
                        heartbeat_delegator_, reachability_monitor_),
       started_at_(now),
@@ -101,6 +102,10 @@
                            static_cast<double>(now - job.accepted_at) / kMillisPerSecond);
 }
 
+void ControlLoop::on_commands_rejected(CommandRejection rejection) {
+    if (metrics_ != nullptr) metrics_->record_rejected_commands(name(rejection));
+}
+
 // Every job of the cluster state was read before the list was requested. A job that is missing from
 // the list has therefore been deleted.
 void ControlLoop::on_open_list(const kvstore::ListReply& all, std::int64_t wall_ms, Millis now) {
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -15,6 +15,7 @@
 #include "autoscaling/rebalancer.h"
 #include "cloud/provisioning_tracker.h"
 #include "cluster/cluster_state.h"
+#include "control/command_fence.h"
 #include "control/command_sender.h"
 #include "control/heartbeat_reconciler.h"
 #include "control/machine_checker.h"
@@ -263,6 +264,7 @@
     void on_command_reply(Machine& machine, const wire::Heartbeat& heartbeat, Millis now) override {
         heartbeat_reconciler_.on_command_reply(machine, heartbeat, now);
     }
+    void on_commands_rejected(CommandRejection rejection) override;
 
     void inherit_machine(const shards::ShardMember& member, std::uint64_t token);
     void run_scheduling_pass(Millis now);
@@ -286,6 +288,7 @@
     autoscaling::Autoscaler autoscaler_;
     autoscaling::Rebalancer rebalancer_;
     drain::Planner drain_planner_;
+    CommandFence command_fence_;
     CommandSender command_sender_;
     ReachabilityMonitor reachability_monitor_;
     HeartbeatReconciler heartbeat_reconciler_;
--- a/src/control/heartbeat_reconciler.cpp
+++ b/src/control/heartbeat_reconciler.cpp
@@ -47,9 +47,13 @@
         apply_proven_state(machine, heartbeat, previous_incarnation, freshness, now);
     if (freshness == EvidenceFreshness::unordered) join_machine(machine, now);
     probe_if_doubtful(machine, freshness, reached, now);
+    const HeartbeatReply reply = machine.token < heartbeat.token
+                                     ? reject_unissued_token(machine, freshness, now)
+                                     : reply_to(machine, heartbeat, freshness, now);
+    // Sent after the reply is made, which may advance the token.
     command_sender_.send_queued(now);
-    if (machine.token < heartbeat.token) return reject_unissued_token(machine, freshness, now);
-    return reply_to(machine, heartbeat, freshness, now);
+    if (reply.status == machines::kHeartbeatAccepted) actions_.schedule_if_needed(now);
+    return reply;
 }
 
 // Returns the rejection to reply with if this term is not responsible for the machine, without
@@ -136,11 +140,9 @@
         std::max(machine.lease_until, now + with_clock_drift(lease) + kLeaseSlack);
     machine.channel.on_reply_sent(lease, now);
     HeartbeatReply reply;
-    reply.token = machine.token;
     if (machines::proves_state(freshness))
-        reply.commands = command_sender_.commands_for_reply(machine, heartbeat);
-    command_sender_.send_queued(now);
-    actions_.schedule_if_needed(now);
+        reply.commands = command_sender_.commands_for_reply(machine, heartbeat, now);
+    reply.token = machine.token;
     return reply;
 }
 
@@ -171,10 +173,10 @@
         // are in flight until it has received a higher token.
         spdlog::info("machine {}: worker restarted, attempts={}", machine.name,
                      machine.attempts.size());
-        command_sender_.raise_token(machine, now);
+        fence_.raise_token(machine, now);
     }
     const std::vector<Attempt*> unreported = apply_task_reports(machine, heartbeat, now);
-    apply_absences(machine, unreported, heartbeat, new_incarnation, now);
+    apply_absences(machine, unreported, now);
     if (heartbeat.preemption_notice_s) {
         machine.preemption_expected_at = now + seconds(*heartbeat.preemption_notice_s);
         cluster_.drain_machine(
@@ -208,8 +210,9 @@
     return unreported;
 }
 
+// An attempt that the worker has started and does not list any more may be started by a late copy
+// of its start command until it is fenced.
 void HeartbeatReconciler::apply_absences(Machine& machine, const std::vector<Attempt*>& unreported,
-                                         const wire::Heartbeat& heartbeat, bool new_incarnation,
                                          Millis now) {
     for (Attempt* attempt : unreported) {
         // Ending one attempt may have removed others that are in `unreported`.
@@ -217,10 +220,16 @@
         const bool not_started_yet =
             attempt->state == AttemptState::recording || attempt->state == AttemptState::recorded;
         if (not_started_yet) continue;
-        if (!cluster::ClusterState::absence_is_conclusive(*attempt, machine)) continue;
-        const bool made_before_start =
-            !new_incarnation && heartbeat.sequence <= attempt->start_reply_sequence;
-        if (!made_before_start) cluster_.attempt_gone(*attempt, now);
+        if (CommandFence::is_fenced(*attempt, machine)) {
+            spdlog::debug(
+                "task={} attempt={} no longer reported by machine={} started under={} "
+                "incarnation={} worker token={} incarnation={}",
+                attempt->task, attempt->number, machine.name, attempt->token, attempt->incarnation,
+                machine.channel.token(), machine.channel.newest_proven().incarnation);
+            cluster_.attempt_gone(*attempt, now);
+        } else if (attempt->start_answered && !CommandFence::may_forget(*attempt, machine)) {
+            fence_.raise_token(machine, now);
+        }
     }
 }
 
--- a/src/control/heartbeat_reconciler.h
+++ b/src/control/heartbeat_reconciler.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "cluster/cluster_state.h"
+#include "control/command_fence.h"
 #include "control/command_sender.h"
 #include "control/reachability_monitor.h"
 #include "machines/heartbeat_reply.h"
@@ -28,13 +29,15 @@
 class HeartbeatReconciler {
   public:
     HeartbeatReconciler(cluster::TermContext& term, cluster::ClusterState& cluster,
-                        cluster::ControlActions& actions, CommandSender& command_sender,
+                        cluster::ControlActions& actions, CommandFence& fence,
+                        CommandSender& command_sender,
                         const ReachabilityMonitor& reachability_monitor,
                         const sharding::ShardAllocator& shard_allocator,
                         sharding::ShardLeaseWriter& shard_lease_writer)
         : term_(term),
           cluster_(cluster),
           actions_(actions),
+          fence_(fence),
           command_sender_(command_sender),
           reachability_monitor_(reachability_monitor),
           shard_allocator_(shard_allocator),
@@ -71,13 +74,14 @@
     std::vector<jobs::Attempt*> apply_task_reports(machines::Machine& machine,
                                                    const wire::Heartbeat& heartbeat, Millis now);
     void apply_absences(machines::Machine& machine, const std::vector<jobs::Attempt*>& unreported,
-                        const wire::Heartbeat& heartbeat, bool new_incarnation, Millis now);
+                        Millis now);
     void on_booted(machines::Machine& machine, Millis now);
     void request_grant(machines::Machine& machine, Millis now);
 
     cluster::TermContext& term_;
     cluster::ClusterState& cluster_;
     cluster::ControlActions& actions_;
+    CommandFence& fence_;
     CommandSender& command_sender_;
     const ReachabilityMonitor& reachability_monitor_;
     const sharding::ShardAllocator& shard_allocator_;
--- a/src/jobs/attempt.h
+++ b/src/jobs/attempt.h
@@ -36,8 +36,7 @@
     ClusterOwned<AttemptState> state{AttemptState::recording};
     std::uint64_t token = 0;        // of the last start command, or of the term that loaded it
     std::uint64_t incarnation = 0;  // of the worker when the start command was sent
-    // Sequence number of the worker's reply to the start command; 0: no reply was received.
-    std::uint64_t start_reply_sequence = 0;
+    bool start_answered = false;    // the worker has replied to the start command
     bool stop_sent = false;
     bool stop_requested = false;
     double stop_grace_s = 0;  // time to save its progress before a wanted stop
--- a/src/machines/machine_registry.h
+++ b/src/machines/machine_registry.h
@@ -64,8 +64,11 @@
 
     // Communication.
     std::uint64_t token = 0;  ///< the fencing token this term uses for it; 0: none
-    WorkerChannel channel;    ///< evidence from its messages, and when it was last reached
-    Millis lease_until = 0;   ///< latest end of any lease granted to it, hence of its tasks
+    /// The lowest token whose echo shows that it may be sent start commands.
+    std::uint64_t token_to_confirm = 0;
+    std::uint64_t last_start_token = 0;  ///< the token of the last start command; 0: none was sent
+    WorkerChannel channel;   ///< evidence from its messages, and when it was last reached
+    Millis lease_until = 0;  ///< latest end of any lease granted to it, hence of its tasks
     Millis preemption_expected_at = 0;  ///< after a spot notice: estimated preemption time
 
     // Attempts and free capacity.
@@ -113,9 +116,11 @@
     ClusterOwned<bool> suspected;  ///< no heartbeat received since its zone was lost
     Millis first_listed_at = 0;    ///< when the cloud's list first showed it
 
-    /// Returns whether the worker has echoed the token in use, so that it obeys this term and no
-    /// earlier one.
-    [[nodiscard]] bool confirmed() const { return token != 0 && channel.token() == token; }
+    /// Returns whether the worker has echoed a token that shows that it obeys this term and no
+    /// earlier one, and that everything which had to be fenced is fenced.
+    [[nodiscard]] bool confirmed() const {
+        return token != 0 && channel.token() >= token_to_confirm && channel.token() <= token;
+    }
     [[nodiscard]] bool usable() const { return state == MachineState::ready; }
     /// Returns whether tasks may be placed on it now.
     [[nodiscard]] bool accepts_tasks() const {
--- a/src/shards/shard_lease_table.cpp
+++ b/src/shards/shard_lease_table.cpp
@@ -134,6 +134,11 @@
     grant_to(shard, holder_);
 }
 
+std::uint64_t ShardLeaseTable::grant_to_machine() {
+    if (granted_count_ + kGrantsKeptForShards >= kMaxGrants) return 0;
+    return grant_token(term_, ++granted_count_);
+}
+
 std::uint64_t ShardLeaseTable::token_of(const std::string& name) const {
     const auto entry = shard_of_machine_.find(name);
     return entry == shard_of_machine_.end() ? 0 : shards_.at(entry->second).fencing_token;
--- a/src/shards/shard_lease_table.h
+++ b/src/shards/shard_lease_table.h
@@ -25,6 +25,9 @@
 inline constexpr std::size_t kMaxShardMachines = 32;
 inline constexpr int kGrantShift = 12;  ///< number of bits below the grant number
 inline constexpr int kTermShift = 32;   ///< number of bits below the term
+/// Grants of one term. The last ones are kept for shards.
+inline constexpr std::uint64_t kMaxGrants = (std::uint64_t{1} << (kTermShift - kGrantShift)) - 1;
+inline constexpr std::uint64_t kGrantsKeptForShards = 1'000;
 
 /// Returns the lowest token of a term, which is below the tokens of all its grants.
 [[nodiscard]] inline std::uint64_t term_token(std::uint64_t term) { return term << kTermShift; }
@@ -32,6 +35,11 @@
 [[nodiscard]] inline std::uint64_t grant_token(std::uint64_t term, std::uint64_t grant) {
     return term_token(term) | grant << kGrantShift;
 }
+/// Returns whether the token is the last that its holder may issue under its grant.
+[[nodiscard]] inline bool is_last_of_grant(std::uint64_t token) {
+    constexpr std::uint64_t kMaxRaises = (std::uint64_t{1} << kGrantShift) - 1;
+    return (token & kMaxRaises) == kMaxRaises;
+}
 /// Returns the term under which a token was granted.
 [[nodiscard]] inline std::uint64_t term_of(std::uint64_t token) { return token >> kTermShift; }
 
@@ -87,6 +95,11 @@
     /// Makes this controller the holder of the shard again, under a new token.
     void reclaim(std::uint32_t number);
 
+    /// Issues a grant for one machine of this controller whose shard's grant has no tokens left. It
+    /// is not recorded: it lies above all grants of the term so far and below all later ones.
+    /// @return the grant's token, or 0 if the term has no grants left for machines.
+    [[nodiscard]] std::uint64_t grant_to_machine();
+
     /// Returns the token of the machine's shard; 0 if it is in none.
     [[nodiscard]] std::uint64_t token_of(const std::string& name) const;
     /// Returns the highest token granted so far in this term.
--- a/tests/control_fixture.h
+++ b/tests/control_fixture.h
@@ -131,8 +131,9 @@
                         control::CommandSender::Listener,
                         autoscaling::IntentLog::Listener {
     explicit ControlFixture(wire::Settings initial_settings = simulation_settings(),
-                            std::vector<wire::MachineType> types = {})
-        : settings(std::move(initial_settings)) {
+                            std::vector<wire::MachineType> types = {},
+                            cluster::TermScope term_scope = cluster::TermScope::whole_cluster)
+        : settings(std::move(initial_settings)), scope(term_scope) {
         if (types.empty()) {
             types = {{"g4", 16, 4, 64, 50, 1, 10, 4, 10, {"a", "b"}},
                      {"plain", 8, 0, 32, 50, 1, 1, 0.4, 10, {"a", "b"}}};
@@ -143,9 +144,9 @@
     }
 
     wire::Settings settings;
+    cluster::TermScope scope;
     RecordingGateway gateway;
-    cluster::TermContext term{
-        settings, {7, "lead/term", 70}, cluster::TermScope::whole_cluster, gateway};
+    cluster::TermContext term{settings, {7, "lead/term", 70}, scope, gateway};
     cluster::ClusterState cluster{term, *this, *this, 0};
     forecast::DemandForecast forecast{term, cluster};
     cloud::ProvisioningTracker provisioning;
@@ -163,7 +164,9 @@
     autoscaling::Autoscaler autoscaler{term,       cluster,         *this,
                                        forecast,   placement_rules, provisioning,
                                        intent_log, failure_detector};
-    control::CommandSender command_sender{term, cluster, *this, failure_detector, *this};
+    control::CommandFence command_fence{term, cluster, shard_lease_writer.table()};
+    control::CommandSender command_sender{term,          cluster,          *this,
+                                          command_fence, failure_detector, *this};
     std::vector<MachineCounts> machine_counts{4};  // by zone
     std::size_t heartbeats = 0;
 
@@ -206,6 +209,10 @@
     void on_command_reply(machines::Machine&, const wire::Heartbeat&, Millis) override {
         ++heartbeats;
     }
+    void on_commands_rejected(control::CommandRejection rejection) override {
+        rejections.push_back(rejection);
+    }
+    std::vector<control::CommandRejection> rejections;
 
     // Adds a machine that accepts tasks under the token of this term.
     machines::Machine& add_ready_machine(const std::string& name, const std::string& type,
--- a/tests/random_history.h
+++ b/tests/random_history.h
@@ -155,7 +155,7 @@
         jobs::Attempt* attempt = some_attempt(jobs::AttemptState::recorded, pick);
         if (attempt == nullptr) return;
         fixture.cluster.attempt_start_sent(*attempt, *fixture.cluster.machine_of(*attempt), now_);
-        if (pick % 4 == 0) fixture.cluster.attempt_start_not_delivered(*attempt, now_);
+        if (pick % 4 == 0) fixture.cluster.attempt_start_not_executed(*attempt, now_);
     }
 
     void report_exited(unsigned pick) {
