--- a/src/control/attempt_lookup.h
+++ b/src/control/attempt_lookup.h
@@ -1,6 +1,6 @@
 /// @file
 /// Matches the tasks that a heartbeat lists with the attempts in the cluster state. Used by
-/// CommandSender and HeartbeatReconciler.
+/// ReplyCommands and HeartbeatReconciler.
 #pragma once
 #include "cluster/cluster_state.h"
 #include "wire/messages.h"
--- a/src/control/command_sender.h
+++ b/src/control/command_sender.h
@@ -1,6 +1,6 @@
 /// @file
-/// Sends commands to workers. Start commands are sent in direct messages. Stop and forget commands
-/// are also repeated in every heartbeat reply until a heartbeat shows that they were executed.
+/// Sends start and stop commands to workers in direct messages. ReplyCommands repeats stop commands
+/// in heartbeat replies.
 ///
 /// Like all of src/control, this module runs on the controller's loop thread, owns no sockets and
 /// reads no clock. Messages are sent through cluster::ServiceGateway, and times are arguments in
@@ -31,9 +31,8 @@
 /// A start command is sent only while the lease of the leader or shard holder is confirmed, only
 /// for an attempt whose checkpoint is committed, and only to a machine that has confirmed its
 /// fencing token. After a message of unknown outcome the machine's token is raised, so that the
-/// worker rejects the message if it arrives late. A forget command is sent only under a higher
-/// token than the start command, so that the worker rejects late copies of that. Called by
-/// ControlLoop, HeartbeatReconciler and MachineChecker. Lives as long as the term.
+/// worker rejects the message if it arrives late. Called by ControlLoop, HeartbeatReconciler and
+/// MachineChecker. Lives as long as the term.
 class CommandSender {
   public:
     /// Receives the machine states in command replies. Implemented by ControlLoop.
@@ -66,12 +65,6 @@
     /// Queues a message to the machine even if no command is due, ignoring any back-off. The reply
     /// carries the machine's state and confirms its token.
     void probe(machines::Machine& machine, Millis now);
-    /// Returns the stop and forget commands for the reply to `heartbeat`, including those for tasks
-    /// that are not in the cluster state. Returns at most 200 commands. They are sent under
-    /// `machine.token`, which is advanced first if forget commands need a higher one.
-    [[nodiscard]] std::vector<wire::Command> commands_for_reply(machines::Machine& machine,
-                                                                const wire::Heartbeat& heartbeat,
-                                                                Millis now);
 
     /// Returns when the first command was lost, if since then no command was answered and commands
     /// to at least three machines that still send heartbeats were lost. In that case the fault is
@@ -92,17 +85,6 @@
     [[nodiscard]] bool waits_for_gang_images(const jobs::Job& job,
                                              const machines::Machine& machine) const;
 
-    [[nodiscard]] std::vector<wire::Command> pending_commands(
-        const machines::Machine& machine) const;
-    void add_commands_for_unknown_tasks(const machines::Machine& machine,
-                                        const std::vector<wire::TaskReport>& unknown,
-                                        std::vector<wire::Command>& commands) const;
-    [[nodiscard]] std::vector<wire::TaskReport> unknown_tasks(
-        const machines::Machine& machine, const wire::Heartbeat& heartbeat) const;
-    [[nodiscard]] bool needs_higher_token(const machines::Machine& machine,
-                                          const std::vector<wire::TaskReport>& unknown) const;
-    [[nodiscard]] bool forget_is_due(const jobs::Attempt& attempt) const;
-
     void on_command_reply(const std::string& machine_name, std::uint64_t token,
                           const cluster::CommandReply& reply, Millis now);
     void on_answered(machines::Machine& machine, std::uint64_t token, const wire::Heartbeat& state,
--- a/src/control/control_loop.h
+++ b/src/control/control_loop.h
@@ -20,6 +20,7 @@
 #include "control/heartbeat_reconciler.h"
 #include "control/machine_checker.h"
 #include "control/reachability_monitor.h"
+#include "control/reply_commands.h"
 #include "drain/planner.h"
 #include "failure/failure_detector.h"
 #include "forecast/demand_forecast.h"
@@ -289,6 +290,7 @@
     autoscaling::Rebalancer rebalancer_;
     drain::Planner drain_planner_;
     CommandFence command_fence_;
+    ReplyCommands reply_commands_;
     CommandSender command_sender_;
     ReachabilityMonitor reachability_monitor_;
     HeartbeatReconciler heartbeat_reconciler_;
--- a/src/control/heartbeat_reconciler.cpp
+++ b/src/control/heartbeat_reconciler.cpp
@@ -141,7 +141,7 @@
     machine.channel.on_reply_sent(lease, now);
     HeartbeatReply reply;
     if (machines::proves_state(freshness))
-        reply.commands = command_sender_.commands_for_reply(machine, heartbeat, now);
+        reply.commands = reply_commands_.take(machine, heartbeat, now);
     reply.token = machine.token;
     return reply;
 }
--- a/src/control/heartbeat_reconciler.h
+++ b/src/control/heartbeat_reconciler.h
@@ -12,6 +12,7 @@
 #include "control/command_fence.h"
 #include "control/command_sender.h"
 #include "control/reachability_monitor.h"
+#include "control/reply_commands.h"
 #include "machines/heartbeat_reply.h"
 #include "sharding/shard_allocator.h"
 #include "sharding/shard_lease_writer.h"
@@ -30,7 +31,7 @@
   public:
     HeartbeatReconciler(cluster::TermContext& term, cluster::ClusterState& cluster,
                         cluster::ControlActions& actions, CommandFence& fence,
-                        CommandSender& command_sender,
+                        ReplyCommands& reply_commands, CommandSender& command_sender,
                         const ReachabilityMonitor& reachability_monitor,
                         const sharding::ShardAllocator& shard_allocator,
                         sharding::ShardLeaseWriter& shard_lease_writer)
@@ -38,6 +39,7 @@
           cluster_(cluster),
           actions_(actions),
           fence_(fence),
+          reply_commands_(reply_commands),
           command_sender_(command_sender),
           reachability_monitor_(reachability_monitor),
           shard_allocator_(shard_allocator),
@@ -82,6 +84,7 @@
     cluster::ClusterState& cluster_;
     cluster::ControlActions& actions_;
     CommandFence& fence_;
+    ReplyCommands& reply_commands_;
     CommandSender& command_sender_;
     const ReachabilityMonitor& reachability_monitor_;
     const sharding::ShardAllocator& shard_allocator_;
--- a/src/dependencies/pathset_search.cpp
+++ b/src/dependencies/pathset_search.cpp
@@ -49,7 +49,6 @@
 
 void PathsetSearch::begin_choice(Automaton automaton) {
     Choice choice;
-    choice.automaton = automaton;
     choice.paths = paths_.paths_of(automaton);
     // The path of an automaton that is already in the set may have to be replaced by a longer one.
     choice.shorter = set_.position_of(automaton);
--- a/src/dependencies/pathset_search.h
+++ b/src/dependencies/pathset_search.h
@@ -42,7 +42,6 @@
     };
     // An automaton whose paths are tried.
     struct Choice {
-        Automaton automaton = kNone;
         std::vector<Path> paths;
         std::size_t next = 0;                      // of `paths`
         std::optional<Pathset::Position> shorter;  // earlier path, which is to be extended
--- a/tests/command_fence_test.cpp
+++ b/tests/command_fence_test.cpp
@@ -95,10 +95,12 @@
     }
 
     control::ReachabilityMonitor reachability_monitor{settings};
+    control::ReplyCommands reply_commands{cluster, command_fence};
     control::HeartbeatReconciler reconciler{term,
                                             cluster,
                                             *this,
                                             command_fence,
+                                            reply_commands,
                                             command_sender,
                                             reachability_monitor,
                                             shard_allocator,
