--- a/emulator/request_repeater.cpp
+++ b/emulator/request_repeater.cpp
@@ -17,7 +17,7 @@
     if (share_ > 0) timer_.every(kCheckInterval);
 }
 
-void RequestRepeater::offer(std::function<void()> deliver) {
+void RequestRepeater::offer(const std::function<void()>& deliver) {
     if (share_ <= 0 || due_.size() >= kMaxPending) return;
     if (std::uniform_real_distribution<double>(0, 1)(random_) >= share_) return;
     for (const Millis delay : kDelays) due_.emplace(now() + delay, deliver);
--- a/emulator/request_repeater.h
+++ b/emulator/request_repeater.h
@@ -21,7 +21,7 @@
     RequestRepeater(uv_loop_t* loop, double share, std::uint64_t seed);
 
     /// To be called once a request was answered. `deliver` delivers it again.
-    void offer(std::function<void()> deliver);
+    void offer(const std::function<void()>& deliver);
     /// Returns the number of copies delivered so far.
     [[nodiscard]] std::uint64_t delivered() const { return delivered_; }
 
--- a/emulator/scale_run.cpp
+++ b/emulator/scale_run.cpp
@@ -304,7 +304,8 @@
             {"leases_lost", counters.leases_lost},
             {"dropped_tokens", counters.dropped_tokens},
             {"by_controller", workers_.by_controller()},
-            {"report", delays(workers_.report_ms())}};
+            {"report", delays(workers_.report_ms())},
+            {"next_start", delays(workers_.next_start_ms())}};
 }
 
 Json ScaleRun::copies_result() const {
--- a/emulator/worker_emulator.h
+++ b/emulator/worker_emulator.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "emulator/histogram.h"
@@ -66,6 +67,8 @@
     [[nodiscard]] const Counters& counters() const { return counters_; }
     /// Delay from sending a heartbeat to receiving its reply.
     [[nodiscard]] const Histogram& report_ms() const { return report_ms_; }
+    /// Delay from the end of a task to the next start command on its machine.
+    [[nodiscard]] const Histogram& next_start_ms() const { return next_start_ms_; }
     [[nodiscard]] std::size_t size() const { return workers_.size(); }
     /// Number of tasks that occupy a machine.
     [[nodiscard]] std::size_t running() const { return running_; }
@@ -89,6 +92,7 @@
         // fencing token received.
         std::uint64_t session = 1, seq = 0, token = 0;
         Millis lease_from = 0, reported_at = 0, seen_token_at = 0;
+        Millis exited_at = 0;    // when a task ended since the last start; 0: none
         std::size_t target = 0;  // index of the controller that receives the heartbeats
         // A heartbeat awaits its reply; the state changed since the last heartbeat; a heartbeat is
         // scheduled early.
@@ -172,7 +176,7 @@
     std::map<std::pair<std::string, std::uint32_t>, Gang> gangs_;  // by job and attempt
     std::size_t running_ = 0;
     Counters counters_;
-    Histogram report_ms_;
+    Histogram report_ms_, next_start_ms_;
 };
 
 }  // namespace nickelramp::emulator
--- a/emulator/worker_emulator_tasks.cpp
+++ b/emulator/worker_emulator_tasks.cpp
@@ -49,6 +49,8 @@
         return;
     }
     ++counters_.starts;
+    if (w.exited_at != 0)
+        next_start_ms_.add(static_cast<double>(now() - std::exchange(w.exited_at, 0)));
     if (job->spec.shape == wire::Shape::gang)
         gangs_[{command.job, command.attempt}].members[command.task] = w.name;
     const bool cached = w.images.count(job->spec.image) != 0;
@@ -126,6 +128,7 @@
     t.cause = cause;
     t.saved = saved;
     ++counters_.exits;
+    if (w.exited_at == 0) w.exited_at = now();
     release_task(id, before);
     report_soon(w);
 }
--- a/src/control/heartbeat_reconciler.cpp
+++ b/src/control/heartbeat_reconciler.cpp
@@ -47,9 +47,9 @@
         apply_proven_state(machine, heartbeat, previous_incarnation, freshness, now);
     if (freshness == EvidenceFreshness::unordered) join_machine(machine, now);
     probe_if_doubtful(machine, freshness, reached, now);
-    const HeartbeatReply reply = machine.token < heartbeat.token
-                                     ? reject_unissued_token(machine, freshness, now)
-                                     : reply_to(machine, heartbeat, freshness, now);
+    HeartbeatReply reply = machine.token < heartbeat.token
+                               ? reject_unissued_token(machine, freshness, now)
+                               : reply_to(machine, heartbeat, freshness, now);
     // Sent after the reply is made, which may advance the token.
     command_sender_.send_queued(now);
     if (reply.status == machines::kHeartbeatAccepted) actions_.schedule_if_needed(now);
