--- a/emulator/worker_emulator.h
+++ b/emulator/worker_emulator.h
@@ -107,6 +107,7 @@
         std::map<std::uint32_t, std::string> members;  // machine by task
         std::size_t ready = 0;                         // tasks that have their image
         bool began = false;
+        bool broken = false;  // a member is gone, so the others cannot complete
     };
     // An action that is due at a time; earlier times, then lower `order`, come first.
     struct Due {
--- a/emulator/worker_emulator_tasks.cpp
+++ b/emulator/worker_emulator_tasks.cpp
@@ -93,6 +93,8 @@
 void WorkerEmulator::complete(Worker& w, const TaskId& id, std::uint32_t attempt) {
     Task* t = find(w, id, attempt);
     if (t == nullptr || t->phase != TaskPhase::running) return;
+    const auto gang = gangs_.find({id.first, attempt});
+    if (gang != gangs_.end() && gang->second.broken) return;  // gang_lost() ends it
     rules_.task_completed(*rules_.find(id.first), id.second, now());
     exit_task(w, id, ExitCause::done, false);
 }
@@ -146,6 +148,7 @@
     if (gang == gangs_.end()) return;
     gang->second.members.erase(id.second);
     const bool broken = gang->second.began && !job->task_done[id.second];
+    if (broken) gang->second.broken = true;
     if (gang->second.members.empty()) gangs_.erase(gang);
     if (broken) {
         at(now() + seconds(settings_.gang_peer_s),
