--- a/emulator/cloud_emulator.cpp
+++ b/emulator/cloud_emulator.cpp
@@ -25,8 +25,9 @@
       settings_(std::move(settings)),
       workers_(workers),
       random_(seed),
-      server_(loop, 256, [this](const net::Request& q, const net::Responder& r) { handle(q, r); }),
+      server_(loop, 256, [this](const net::Request& q, const net::Responder& r) { receive(q, r); }),
       boot_timer_(loop, [this] { boot(); }),
+      repeater_(loop, settings_.repeated_requests, seed),
       limit_(settings_.requests_per_s) {
     for (std::size_t i = 0; i < settings_.capacity; ++i) free_[i % kSpotEvery == 0].insert(i);
     boot_timer_.every(kBootInterval);
@@ -135,6 +136,12 @@
     reply(r, 200, {{"hosts", hosts}, {"truncated", it != machines_.end()}});
 }
 
+void CloudEmulator::receive(const net::Request& q, const net::Responder& r) {
+    // The reply ends the life of `q`.
+    if (q.method != "GET") repeater_.offer([this, copy = q] { handle(copy, {}); });
+    handle(q, r);
+}
+
 void CloudEmulator::handle(const net::Request& q, const net::Responder& r) {
     ++counters_.requests;
     if (!limit_.try_acquire(1, now())) {
--- a/emulator/cloud_emulator.h
+++ b/emulator/cloud_emulator.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "emulator/request_repeater.h"
 #include "emulator/state_service_emulator.h"
 #include "emulator/worker_emulator.h"
 #include "net/http_server.h"
@@ -23,7 +24,8 @@
     /// A requests_per_s of 0 stands for no limit.
     double cpus = 64, gpus = 2, memory_gb = 256, boot_s = 5, requests_per_s = 0;
     std::vector<std::string> zones;
-    std::size_t capacity = 0;  ///< machines in total, a third of them spot machines
+    std::size_t capacity = 0;      ///< machines in total, a third of them spot machines
+    double repeated_requests = 0;  ///< share of changing requests that arrive again
 };
 
 /// The cloud's HTTP API with its request limit, backed by WorkerEmulator.
@@ -41,6 +43,7 @@
     /// controller returns it.
     void fail_one();
     const Counters& counters() const { return counters_; }
+    [[nodiscard]] std::uint64_t copies() const { return repeater_.delivered(); }
     /// Number of machines that are provisioned, including failed ones.
     std::size_t machines() const { return machines_.size(); }
 
@@ -53,6 +56,7 @@
         bool up = false;
     };
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
+    void receive(const net::Request& request, const net::Responder& responder);
     void handle(const net::Request& request, const net::Responder& responder);
     void provision(const wire::Json& body, const net::Responder& responder);
     void release_machines(const wire::Json& body, const net::Responder& responder);
@@ -67,6 +71,7 @@
     std::mt19937_64 random_;
     net::HttpServer server_;
     net::Timer boot_timer_;
+    RequestRepeater repeater_;
     RateLimit limit_;
     std::map<std::string, Machine> machines_;
     std::multimap<Millis, std::string> boots_;  // machine names by end of boot
--- a/emulator/main.cpp
+++ b/emulator/main.cpp
@@ -64,6 +64,16 @@
         ->check(Range(0.0, 1e5));
     cli.add_option("--back-after", o.back_after_s, "seconds until the killed leader is restarted")
         ->check(Range(0.1, 1e5));
+    cli.add_option("--restart-every", o.restart_every_s,
+                   "seconds between kills of one controller after the other; 0: never")
+        ->check(Range(0.0, 1e5));
+    cli.add_option("--failing-tasks", o.failing_tasks, "share of the attempts that fail")
+        ->check(Range(0.0, 1.0));
+    cli.add_option("--cancelled", o.load.cancelled, "share of the arrays that are cancelled")
+        ->check(Range(0.0, 1.0));
+    cli.add_option("--repeated-requests", o.repeated_requests,
+                   "share of the answered requests that arrive again, three times within 16 s")
+        ->check(Range(0.0, 1.0));
     cli.add_option("--machine-failures", o.failures_per_day, "a day")->check(Range(0.0, 1e6));
     cli.add_option("--boot-s", o.boot_s)->check(Range(0.1, 600.0));
     cli.add_option("--warmup", o.warmup_s, "seconds before the measurement begins")
@@ -85,6 +95,7 @@
         return cli.exit(e) == 0 ? 0 : kBadInput;
     }
     options.load.teams = options.teams;
+    options.load.repeated_requests = options.repeated_requests;
     spdlog::set_default_logger(spdlog::stderr_logger_st("nickelramp-scale"));
     spdlog::set_pattern("%L %v");
     std::error_code error;
--- a/emulator/scale_run.cpp
+++ b/emulator/scale_run.cpp
@@ -39,6 +39,8 @@
     WorkerSettings s;
     s.report_s = o.report_s;
     s.lease_s = o.lease_s;
+    s.failing_tasks = o.failing_tasks;
+    s.repeated_requests = o.repeated_requests;
     s.port = o.first_port + kWorkerPort;
     for (std::size_t i = 0; i < o.controllers; ++i) {
         s.controllers.push_back(fmt::format("ramper-{}", i));
@@ -53,6 +55,7 @@
     s.capacity = o.workers;
     s.boot_s = o.boot_s;
     s.requests_per_s = o.cloud_requests_per_s;
+    s.repeated_requests = o.repeated_requests;
     return s;
 }
 
@@ -116,13 +119,14 @@
       rules_(seconds(options.cancel_s), gpu_limits(options)),
       state_(loop_,
              StateServiceEmulator::Limits{options.state_requests_per_s, options.state_changes_per_s,
-                                          kMaxStateConnections}),
+                                          kMaxStateConnections, options.repeated_requests}),
       workers_(loop_, worker_settings(options), rules_, options.seed),
       cloud_(loop_, cloud_settings(options), workers_, options.seed + 1),
       controllers_(controller_settings(options)),
       users_(loop_, options.load, worker_settings(options).addresses, rules_, options.seed + 2),
       sample_timer_(loop_, [this] { sample(); }),
       crash_timer_(loop_, [this] { crash_leader(); }),
+      crash_next_timer_(loop_, [this] { crash_next(); }),
       restart_timer_(loop_, [this] { controllers_.start(crashed_); }),
       samples_(options.controllers) {}
 
@@ -146,6 +150,7 @@
     users_.begin();
     sample_timer_.every(kSampleInterval);
     if (options_.kill_leader_at_s > 0) crash_timer_.after(seconds(options_.kill_leader_at_s));
+    if (options_.restart_every_s > 0) crash_next_timer_.every(seconds(options_.restart_every_s));
     while (!finished_) uv_run(loop_, UV_RUN_ONCE);
     ended_at_ = now();
     totals_at_end_ = totals();
@@ -230,13 +235,22 @@
 
 void ScaleRun::crash_leader() {
     for (std::size_t i = 0; i < controllers_.size(); ++i) {
-        if (controllers_.name(i) != leader_) continue;
-        crashed_ = i;
-        controllers_.kill(i);
-        restart_timer_.after(seconds(options_.back_after_s));
+        if (controllers_.name(i) == leader_) crash(i);
     }
 }
 
+void ScaleRun::crash_next() {
+    crash(next_to_crash_);
+    next_to_crash_ = (next_to_crash_ + 1) % controllers_.size();
+}
+
+void ScaleRun::crash(std::size_t controller) {
+    if (controllers_.pid(controller) == 0) return;
+    crashed_ = controller;
+    controllers_.kill(controller);
+    restart_timer_.after(seconds(options_.back_after_s));
+}
+
 Json ScaleRun::describe(const Sampled& s, double measured_s) const {
     return {{"processor", (s.last.processor_s - s.first.processor_s) / measured_s},
             {"processor_peak", s.peak_cores},
@@ -293,6 +307,17 @@
             {"report", delays(workers_.report_ms())}};
 }
 
+Json ScaleRun::copies_result() const {
+    const auto& counters = workers_.counters();
+    return {{"commands_rejected", counters.copies_rejected},
+            {"commands_accepted", counters.copies_accepted},
+            {"starts_accepted", counters.copied_starts},
+            {"starts_with_effect", counters.started_by_copies},
+            {"state_service", state_.copies()},
+            {"cloud", cloud_.copies()},
+            {"users", users_.copies()}};
+}
+
 Json ScaleRun::state_service_result() const {
     const auto& counters = state_.counters();
     return {{"requests_per_s", per_s(&Totals::requests)},
@@ -336,6 +361,7 @@
             {"controllers", controllers_result()},
             {"hollow_process", describe(own_usage_, measured_s())},
             {"workers", workers_result()},
+            {"copies", copies_result()},
             {"state_service", state_service_result()},
             {"cloud", cloud_result()},
             {"users", users_result()},
--- a/emulator/scale_run.h
+++ b/emulator/scale_run.h
@@ -29,6 +29,9 @@
     double report_s = 8, lease_s = 45, cancel_s = 65, boot_s = 5;
     double kill_leader_at_s = 0, back_after_s = 5, failures_per_day = 0;
     double gpu_limit = 0;  ///< quota of each team
+    double failing_tasks = 0;
+    double repeated_requests = 0;  ///< of controllers and users, with each service
+    double restart_every_s = 0;    ///< kills one controller after the other
     Load load;
 };
 
@@ -70,6 +73,9 @@
     void find_leader();
     // Kills the leader and schedules its restart.
     void crash_leader();
+    // Kills the next controller and schedules its restart.
+    void crash_next();
+    void crash(std::size_t controller);
     Totals totals() const;
     wire::Json describe(const Sampled& s, double seconds) const;
     [[nodiscard]] double measured_s() const;
@@ -79,6 +85,7 @@
     [[nodiscard]] wire::Json load_reached() const;
     [[nodiscard]] wire::Json controllers_result() const;
     [[nodiscard]] wire::Json workers_result() const;
+    [[nodiscard]] wire::Json copies_result() const;
     [[nodiscard]] wire::Json state_service_result() const;
     [[nodiscard]] wire::Json cloud_result() const;
     [[nodiscard]] wire::Json users_result() const;
@@ -91,12 +98,12 @@
     CloudEmulator cloud_;
     ControllerProcesses controllers_;
     UserEmulator users_;
-    net::Timer sample_timer_, crash_timer_, restart_timer_;
+    net::Timer sample_timer_, crash_timer_, crash_next_timer_, restart_timer_;
     std::unique_ptr<net::HttpClient> status_client_;
     bool finished_ = false, measuring_ = false;
     Millis started_at_ = 0, measured_at_ = 0, sampled_at_ = 0, ended_at_ = 0;
     std::string leader_;
-    std::size_t crashed_ = SIZE_MAX, unexpected_exits_ = 0;
+    std::size_t crashed_ = SIZE_MAX, next_to_crash_ = 0, unexpected_exits_ = 0;
     std::vector<Sampled> samples_;  // by controller
     Sampled own_usage_;
     Totals totals_at_start_, totals_at_end_, totals_at_sample_;
--- a/emulator/state_service_emulator.cpp
+++ b/emulator/state_service_emulator.cpp
@@ -16,6 +16,7 @@
                       kMaxListed = std::size_t{512} * 1024;  // bytes
 constexpr Millis kMaintenanceInterval = 20, kMaxWatch = 60'000;
 constexpr double kMillisPerSecond = 1'000;
+constexpr std::uint64_t kRepeaterSeed = 1;
 }  // namespace
 
 bool RateLimit::try_acquire(double n, Millis now) {
@@ -31,8 +32,9 @@
 StateServiceEmulator::StateServiceEmulator(uv_loop_t* loop, Limits limits)
     : loop_(loop),
       server_(loop, limits.max_connections,
-              [this](const net::Request& q, const net::Responder& r) { handle(q, r); }),
+              [this](const net::Request& q, const net::Responder& r) { receive(q, r); }),
       maintenance_timer_(loop, [this] { run_due_work(); }),
+      repeater_(loop, limits.repeated_requests, kRepeaterSeed),
       requests_(limits.requests_per_s),
       changes_(limits.changes_per_s) {
     maintenance_timer_.every(kMaintenanceInterval);
@@ -214,6 +216,12 @@
     reply(r, 200, {{"items", items}, {"truncated", truncated}, {"epoch", revision_}});
 }
 
+void StateServiceEmulator::receive(const net::Request& q, const net::Responder& r) {
+    // The reply ends the life of `q`.
+    if (q.method != "GET") repeater_.offer([this, copy = q] { handle(copy, {}); });
+    handle(q, r);
+}
+
 void StateServiceEmulator::handle(const net::Request& q, const net::Responder& r) {
     ++counters_.requests;
     counters_.bytes_in += q.body.size();
--- a/emulator/state_service_emulator.h
+++ b/emulator/state_service_emulator.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "emulator/request_repeater.h"
 #include "net/http_server.h"
 #include "net/timer.h"
 #include "wire/cbor.h"
@@ -38,6 +39,7 @@
     struct Limits {
         double requests_per_s = 0, changes_per_s = 0;
         std::size_t max_connections = 64;
+        double repeated_requests = 0;  ///< share of changing requests that arrive again
     };
     /// Totals since the start. `changes` counts the keys written or deleted by transactions.
     struct Counters {
@@ -61,6 +63,7 @@
     /// Ends a lease and deletes the keys attached to it.
     void expire_lease(std::uint64_t id);
     const Counters& counters() const { return counters_; }
+    [[nodiscard]] std::uint64_t copies() const { return repeater_.delivered(); }
     /// Number of keys stored.
     std::size_t keys() const { return keys_.size(); }
 
@@ -83,6 +86,7 @@
         net::Responder responder;
     };
     Millis now() const { return static_cast<Millis>(uv_now(loop_)); }
+    void receive(const net::Request& request, const net::Responder& responder);
     void handle(const net::Request& request, const net::Responder& responder);
     void route(const net::Request& request, const net::Responder& responder);
     void reply(const net::Responder& responder, int status, const wire::Json& body);
@@ -103,6 +107,7 @@
     uv_loop_t* loop_;
     net::HttpServer server_;
     net::Timer maintenance_timer_;
+    RequestRepeater repeater_;
     RateLimit requests_, changes_;
     std::map<std::string, Entry> keys_;
     std::deque<Change> log_;  // the latest changes, oldest first
--- a/emulator/user_emulator.cpp
+++ b/emulator/user_emulator.cpp
@@ -21,9 +21,12 @@
 
 UserEmulator::UserEmulator(uv_loop_t* loop, Load load, const std::vector<std::string>& controllers,
                            ProtocolRules& rules, std::uint64_t seed)
-    : loop_(loop), load_(load), rules_(rules), random_(seed), tick_timer_(loop, [this] {
-          tick();
-      }) {
+    : loop_(loop),
+      load_(load),
+      rules_(rules),
+      random_(seed),
+      tick_timer_(loop, [this] { tick(); }),
+      repeater_(loop, load.repeated_requests, seed) {
     for (const std::string& c : controllers) {
         clients_.push_back(std::make_unique<net::HttpClient>(loop, *net::parse_address(c), c,
                                                              kConnections, kMaxQueued));
@@ -124,28 +127,40 @@
         std::move(done));
 }
 
-void UserEmulator::send(const std::string& id, Millis first) {
-    request("POST", "/work", wire::encode(job_body(rules_.find(id)->spec)),
-            [this, id, first](const net::ClientReply& reply) {
-                if (reply.outcome != net::ClientReply::Outcome::answered ||
-                    (reply.status != 200 && reply.status != 201)) {
-                    ++counters_.retried;
-                    if (reply.status == 400 || reply.status == 422)
-                        rules_.record_violation("refused", id);
-                    return run_later(kRetryDelay, [this, id, first] { send(id, first); });
+void UserEmulator::post(const std::string& path, const std::string& body, OnReply done) {
+    request("POST", path, body,
+            [this, path, body, done = std::move(done)](const net::ClientReply& reply) {
+                if (reply.outcome == net::ClientReply::Outcome::answered) {
+                    repeater_.offer([this, path, body] {
+                        request("POST", path, body, [](const net::ClientReply&) {});
+                    });
                 }
-                ++counters_.accepted;
-                EmulatedJob& job = *rules_.find(id);
-                job.accepted_at = now();
-                submit_ms_.add(static_cast<double>(now() - first));
-                const bool cancels =
-                    job.spec.shape == wire::Shape::array &&
-                    std::uniform_real_distribution<double>(0, 1)(random_) < load_.cancelled;
-                if (cancels) run_later(seconds(job.run_s / 2), [this, id] { cancel(id); });
-                run_later(static_cast<Millis>(random_() % kPollInterval), [this, id] { poll(id); });
+                done(reply);
             });
 }
 
+void UserEmulator::send(const std::string& id, Millis first) {
+    post("/work", wire::encode(job_body(rules_.find(id)->spec)),
+         [this, id, first](const net::ClientReply& reply) {
+             if (reply.outcome != net::ClientReply::Outcome::answered ||
+                 (reply.status != 200 && reply.status != 201)) {
+                 ++counters_.retried;
+                 if (reply.status == 400 || reply.status == 422)
+                     rules_.record_violation("refused", id);
+                 return run_later(kRetryDelay, [this, id, first] { send(id, first); });
+             }
+             ++counters_.accepted;
+             EmulatedJob& job = *rules_.find(id);
+             job.accepted_at = now();
+             submit_ms_.add(static_cast<double>(now() - first));
+             const bool cancels =
+                 job.spec.shape == wire::Shape::array &&
+                 std::uniform_real_distribution<double>(0, 1)(random_) < load_.cancelled;
+             if (cancels) run_later(seconds(job.run_s / 2), [this, id] { cancel(id); });
+             run_later(static_cast<Millis>(random_() % kPollInterval), [this, id] { poll(id); });
+         });
+}
+
 void UserEmulator::poll(const std::string& id) {
     ++counters_.polls;
     request("GET", "/work/" + id, "",
@@ -181,7 +196,7 @@
 
 void UserEmulator::cancel(const std::string& id) {
     ++counters_.cancelled;
-    request("POST", "/work/" + id + "/abort", "", [this, id](const net::ClientReply& reply) {
+    post("/work/" + id + "/abort", "", [this, id](const net::ClientReply& reply) {
         if (reply.outcome != net::ClientReply::Outcome::answered || reply.status != 200)
             run_later(kRetryDelay, [this, id] { cancel(id); });
     });
--- a/emulator/user_emulator.h
+++ b/emulator/user_emulator.h
@@ -14,6 +14,7 @@
 
 #include "emulator/histogram.h"
 #include "emulator/protocol_rules.h"
+#include "emulator/request_repeater.h"
 #include "net/http_client.h"
 #include "net/timer.h"
 
@@ -25,8 +26,9 @@
     std::uint32_t array_tasks = 100;  ///< in each array
     double arrays_per_s = 0, gangs_per_s = 0, services = 0;  ///< services start within 5 s
     std::uint32_t gang_tasks = 4;
-    double run_s = 300;       ///< mean run time of a task
-    double cancelled = 0.02;  ///< fraction of the arrays that are cancelled
+    double run_s = 300;            ///< mean run time of a task
+    double cancelled = 0.02;       ///< fraction of the arrays that are cancelled
+    double repeated_requests = 0;  ///< share of submissions and cancellations that arrive again
     double settings_changes_per_s = 0;
     double burst_at_s = 0;        ///< when to submit a burst of arrays, from the start
     std::size_t burst_tasks = 0;  ///< total over the arrays of the burst
@@ -49,6 +51,7 @@
     void stop() { arriving_ = false; }
 
     const Counters& counters() const { return counters_; }
+    [[nodiscard]] std::uint64_t copies() const { return repeater_.delivered(); }
     /// From the first attempt to submit a job to its acceptance.
     const Histogram& submit_ms() const { return submit_ms_; }
     /// From the submission of a job to the start of its first task, by shape.
@@ -77,6 +80,8 @@
     // Polls a controller until it returns the value or the setting has changed again.
     void await_setting(double value, std::size_t controller, Millis since);
     void request(const char* method, const std::string& path, std::string body, OnReply done);
+    // Sends the request of a user, and after its answer perhaps copies of it.
+    void post(const std::string& path, const std::string& body, OnReply done);
     void run_later(Millis wait, std::function<void()> action);
 
     uv_loop_t* loop_;
@@ -84,6 +89,7 @@
     ProtocolRules& rules_;
     std::mt19937_64 random_;
     net::Timer tick_timer_;
+    RequestRepeater repeater_;
     std::vector<std::unique_ptr<net::HttpClient>> clients_;
     std::multimap<Millis, std::function<void()>> due_;
     Millis started_at_ = 0, ticked_at_ = 0;
--- a/emulator/worker_emulator.cpp
+++ b/emulator/worker_emulator.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t kMaxConnections = 18'000;
 constexpr double kReportSpread = 0.25;
 constexpr double kMillisPerSecond = 1'000;
-constexpr int kOk = 200, kRedirected = 421;
+constexpr int kOk = 200, kConflict = 409, kRedirected = 421;
 }  // namespace
 
 WorkerEmulator::WorkerEmulator(uv_loop_t* loop, WorkerSettings settings, ProtocolRules& rules,
@@ -26,7 +26,8 @@
       random_(seed),
       server_(loop, kMaxConnections,
               [this](const net::Request& q, const net::Responder& r) { on_direct(q, r); }),
-      due_timer_(loop, [this] { run_due(); }) {
+      due_timer_(loop, [this] { run_due(); }),
+      repeater_(loop, settings_.repeated_requests, seed) {
     server_.report_local_ip();
     due_timer_.every(kDueInterval);
 }
@@ -120,6 +121,10 @@
     heartbeat.tasks.reserve(w.tasks.size());
     for (const auto& [id, t] : w.tasks)
         heartbeat.tasks.push_back({id.first, id.second, t.attempt, t.phase, t.cause, t.saved});
+    for (const auto& [attempt, t] : w.superseded) {
+        const TaskId& id = attempt.first;
+        heartbeat.tasks.push_back({id.first, id.second, t.attempt, t.phase, t.cause, t.saved});
+    }
     return heartbeat;
 }
 
@@ -183,12 +188,7 @@
         return;
     }
     if (session != w.session) return;
-    const auto half_lease = static_cast<Millis>(settings_.lease_s * kMillisPerSecond / 2);
-    if (received->token > w.token && now() - w.seen_token_at > half_lease) {
-        w.seen_token_at = now();
-        w.changed = true;
-    }
-    w.token = received->token;
+    take_token(w, received->token);
     w.lease_from = sent;
     execute(w, received->commands);
 }
@@ -240,6 +240,7 @@
         w.tasks.erase(w.tasks.begin());
         release_task(id, task);
     }
+    w.superseded.clear();
     report_soon(w);
 }
 
@@ -249,23 +250,59 @@
     if (w == nullptr) return r.send({404, "", 0, "application/cbor"});
     ++counters_.direct;
     counters_.bytes_received += q.body.size();
-    const auto received = decode_commands(q.body);
-    int status = 200;
+    int status = kOk;
     if (q.path != "/status") {
+        const auto received = decode_commands(q.body);
         if (!received || !received->session) return r.send({400, "", 0, "application/cbor"});
-        if (received->token < w->token || *received->session != w->session) status = 409;
-        if (status == 409) ++counters_.direct_conflicts;
-    }
-    if (status == 200 && received) {
-        if (received->token > w->token) {
-            w->token = received->token;
-            report_soon(*w);
+        if (!execute_direct(*w, *received)) {
+            status = kConflict;
+            ++counters_.direct_conflicts;
         }
-        execute(*w, received->commands);
+        repeat_direct(*w, *received);
     }
     std::string body = encode_heartbeat(describe(*w));
     counters_.bytes_sent += body.size();
     r.send({status, std::move(body), 0, "application/cbor"});
 }
 
+bool WorkerEmulator::execute_direct(Worker& w, const WorkerCommands& received) {
+    if (received.token < w.token || *received.session != w.session) return false;
+    take_token(w, received.token);
+    execute(w, received.commands);
+    return true;
+}
+
+// A higher token hastens a heartbeat at most once in half a lease.
+void WorkerEmulator::take_token(Worker& w, std::uint64_t token) {
+    const auto half_lease = static_cast<Millis>(settings_.lease_s * kMillisPerSecond / 2);
+    if (token > w.token && now() - w.seen_token_at > half_lease) {
+        w.seen_token_at = now();
+        report_soon(w);
+    }
+    w.token = token;
+}
+
+// Machines that are added later may use the same address. The copies are meant for this one only.
+void WorkerEmulator::repeat_direct(const Worker& w, const WorkerCommands& received) {
+    repeater_.offer([this, name = w.name, life = w.life, received] {
+        Worker* same = worker(name);
+        if (same != nullptr && same->life == life) on_direct_copy(*same, received);
+    });
+}
+
+void WorkerEmulator::on_direct_copy(Worker& w, const WorkerCommands& received) {
+    const std::uint64_t starts_before = counters_.starts;
+    if (!execute_direct(w, received)) {
+        ++counters_.copies_rejected;
+        return;
+    }
+    ++counters_.copies_accepted;
+    counters_.copied_starts += static_cast<std::uint64_t>(
+        std::count_if(received.commands.begin(), received.commands.end(),
+                      [](const auto& c) { return c.op == wire::Command::Op::start; }));
+    counters_.started_by_copies += counters_.starts - starts_before;
+    if (counters_.starts != starts_before)
+        rules_.record_violation("started_by_copy", "by a copy of a direct message to " + w.name);
+}
+
 }  // namespace nickelramp::emulator
--- a/emulator/worker_emulator.h
+++ b/emulator/worker_emulator.h
@@ -17,6 +17,7 @@
 
 #include "emulator/histogram.h"
 #include "emulator/protocol_rules.h"
+#include "emulator/request_repeater.h"
 #include "emulator/worker_messages.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -28,6 +29,8 @@
 struct WorkerSettings {
     double report_s = 8, lease_s = 45, gang_wait_s = 30, gang_peer_s = 4;
     double fetch_gb_per_s = 1;
+    double failing_tasks = 0;              ///< share of the attempts that fail while they run
+    double repeated_requests = 0;          ///< share of direct messages that arrive again
     int port = 0;                          ///< of all workers; each has its own loopback address
     std::vector<std::string> controllers;  ///< names
     std::vector<std::string> addresses;    ///< of the controllers, in the same order
@@ -41,6 +44,10 @@
         std::uint64_t reports = 0, answered = 0, redirected = 0, refused = 0, unanswered = 0;
         std::uint64_t dropped_tokens = 0, leases_lost = 0;
         std::uint64_t direct = 0, direct_conflicts = 0, starts = 0, exits = 0;
+        /// Copies of direct messages: rejected, accepted, and start commands in the accepted ones
+        /// and how many of these took effect.
+        std::uint64_t copies_rejected = 0, copies_accepted = 0, copied_starts = 0,
+                      started_by_copies = 0;
         std::uint64_t bytes_sent = 0, bytes_received = 0;  ///< of message bodies
     };
     WorkerEmulator(uv_loop_t* loop, WorkerSettings settings, ProtocolRules& rules,
@@ -88,6 +95,8 @@
         bool in_flight = false, changed = false, report_scheduled = false;
         std::unique_ptr<net::HttpClient> client;
         std::map<TaskId, Task> tasks;
+        // Exited and not yet forgotten attempts of tasks that were started again here.
+        std::map<std::pair<TaskId, std::uint32_t>, Task> superseded;
         std::set<std::string> images;
     };
     struct Gang {
@@ -124,12 +133,20 @@
 
     // Handles commands that a controller sends to a worker outside of heartbeat replies.
     void on_direct(const net::Request& request, const net::Responder& responder);
+    // Executes the commands unless the token or the incarnation is outdated. Returns whether.
+    bool execute_direct(Worker& w, const WorkerCommands& received);
+    void repeat_direct(const Worker& w, const WorkerCommands& received);
+    // Checks that the copy of an answered message starts nothing.
+    void on_direct_copy(Worker& w, const WorkerCommands& received);
+    void take_token(Worker& w, std::uint64_t token);
     void execute(Worker& w, const std::vector<wire::Command>& commands);
+    void forget(Worker& w, const wire::Command& command);
     void start(Worker& w, const wire::Command& command);
     void stop(Worker& w, const wire::Command& command);
     void fetched(Worker& w, const TaskId& id, std::uint32_t attempt);
     void run(Worker& w, const TaskId& id, std::uint32_t attempt);
     void complete(Worker& w, const TaskId& id, std::uint32_t attempt);
+    void fail(Worker& w, const TaskId& id, std::uint32_t attempt);
     void exit_task(Worker& w, const TaskId& id, wire::ExitCause cause, bool saved);
     void gang_ready(Worker& w, const TaskId& id, std::uint32_t attempt);
     // Ends the remaining tasks of a gang that lost a member.
@@ -147,6 +164,7 @@
     std::mt19937_64 random_;
     net::HttpServer server_;
     net::Timer due_timer_;
+    RequestRepeater repeater_;
     std::priority_queue<Due> due_;
     std::uint64_t order_ = 0, lives_ = 0;
     std::unordered_map<std::string, Worker> workers_;
--- a/emulator/worker_emulator_tasks.cpp
+++ b/emulator/worker_emulator_tasks.cpp
@@ -8,18 +8,25 @@
 using wire::ExitCause;
 using wire::TaskPhase;
 
+namespace {
+constexpr Millis kMaxTimeToFailure = 1'200;
+}  // namespace
+
 void WorkerEmulator::execute(Worker& w, const std::vector<Command>& commands) {
     for (const Command& command : commands) {
         if (command.op == Command::Op::start) start(w, command);
         if (command.op == Command::Op::stop) stop(w, command);
-        if (command.op == Command::Op::forget) {
-            Task* t = find(w, {command.job, command.task}, command.attempt);
-            if (t != nullptr && t->phase == TaskPhase::exited)
-                w.tasks.erase({command.job, command.task});
-        }
+        if (command.op == Command::Op::forget) forget(w, command);
     }
 }
 
+void WorkerEmulator::forget(Worker& w, const Command& command) {
+    const TaskId id{command.job, command.task};
+    w.superseded.erase({id, command.attempt});
+    const Task* t = find(w, id, command.attempt);
+    if (t != nullptr && t->phase == TaskPhase::exited) w.tasks.erase(id);
+}
+
 WorkerEmulator::Task* WorkerEmulator::find(Worker& w, const TaskId& id, std::uint32_t attempt) {
     auto it = w.tasks.find(id);
     return it == w.tasks.end() || it->second.attempt != attempt ? nullptr : &it->second;
@@ -31,6 +38,8 @@
     if (found != w.tasks.end()) {
         const bool ended = found->second.phase == TaskPhase::exited;
         if (found->second.attempt == command.attempt || !ended) return;
+        if (w.superseded.count({id, command.attempt}) != 0) return;
+        w.superseded[{id, found->second.attempt}] = found->second;
     }
     EmulatedJob* job = rules_.find(command.job);
     Task& t = w.tasks[id] = {};
@@ -72,6 +81,10 @@
         schedule(w, seconds(job.run_s),
                  [this, id, attempt](Worker& same) { complete(same, id, attempt); });
     }
+    if (std::uniform_real_distribution<double>(0, 1)(random_) < settings_.failing_tasks) {
+        schedule(w, static_cast<Millis>(random_() % kMaxTimeToFailure),
+                 [this, id, attempt](Worker& same) { fail(same, id, attempt); });
+    }
     report_soon(w);
 }
 
@@ -82,6 +95,11 @@
     exit_task(w, id, ExitCause::done, false);
 }
 
+void WorkerEmulator::fail(Worker& w, const TaskId& id, std::uint32_t attempt) {
+    const Task* t = find(w, id, attempt);
+    if (t != nullptr && t->phase == TaskPhase::running) exit_task(w, id, ExitCause::error, false);
+}
+
 void WorkerEmulator::stop(Worker& w, const Command& command) {
     const TaskId id{command.job, command.task};
     Task* t = find(w, id, command.attempt);
--- a/tests/cluster_simulation.cpp
+++ b/tests/cluster_simulation.cpp
@@ -139,6 +139,7 @@
         Coverage& coverage = context_.coverage;
         if (late) ++(applied ? coverage.late_commits_applied : coverage.late_commits_refused);
         if (applied) notify_leader(key);
+        if (!late) repeat_transaction(transaction);
     };
     if (late)
         context_.after(2'000 + context_.delay(10'000), write);
--- a/tests/cluster_simulation.h
+++ b/tests/cluster_simulation.h
@@ -17,6 +17,7 @@
 #include "lease/lease_guard.h"
 #include "partition/partition_responder.h"
 #include "tests/forwarding_simulation.h"
+#include "tests/request_repeater.h"
 #include "tests/rule_checker.h"
 #include "tests/simulated_cloud.h"
 #include "tests/simulated_jobs.h"
@@ -327,6 +328,7 @@
     void notify_leader(const std::string& key, Millis after = 0);
     bool loses_reply_of(const kvstore::Transaction& transaction);
     CommitDelivery commit_delivery(const kvstore::Transaction& transaction);
+    void repeat_transaction(const kvstore::Transaction& transaction);
     void apply_commit(const kvstore::Transaction& transaction, const CommitDelivery& delivery,
                       const std::function<void(Millis, const kvstore::CommitReply&)>& done);
 
@@ -336,6 +338,11 @@
     std::optional<cluster::CommandReply> execute_commands(
         const std::string& machine, std::uint64_t token, std::uint64_t incarnation,
         const std::vector<wire::Command>& commands, bool delayed);
+    void repeat_commands(const std::string& machine, std::uint64_t token, std::uint64_t incarnation,
+                         const std::vector<wire::Command>& commands);
+    void deliver_command_copy(const std::string& machine, std::uint64_t token,
+                              std::uint64_t incarnation, const std::vector<wire::Command>& commands,
+                              std::size_t process_generation);
 
     // Heartbeats (cluster_simulation_heartbeats.cpp, cluster_simulation_held_heartbeats.cpp).
     void on_machine_booted(const std::string& name);
@@ -366,6 +373,7 @@
     static constexpr Millis kBeyondSimulationEnd = 1'000'000'000;
 
     SimulationContext context_;
+    RequestRepeater repeater_{context_};
     wire::Settings settings_;
     std::vector<wire::MachineType> types_;
     SimulatedJobs jobs_;
--- a/tests/cluster_simulation_store.cpp
+++ b/tests/cluster_simulation_store.cpp
@@ -121,9 +121,19 @@
     }
     if (delivery.late) ++(applied ? coverage.late_commits_applied : coverage.late_commits_refused);
     if (delivery.lost) return;
+    if (reply.status != kvstore::Status::refused) repeat_transaction(transaction);
     context_.after(context_.delay(kMaxReplyDelay), [this, reply, done] { done(now(), reply); });
 }
 
+// Delivers copies of a transaction that the store has answered.
+void ClusterSimulation::repeat_transaction(const kvstore::Transaction& transaction) {
+    repeater_.on_answered("transactions", [this, transaction] {
+        if (!store_.up()) return;
+        if (store_.commit(transaction).status == kvstore::Status::ok)
+            ++context_.coverage.repeated_commits_applied[commit_kind(transaction)];
+    });
+}
+
 void ClusterSimulation::Controller::commit(
     kvstore::Transaction transaction,
     std::function<void(Millis, const kvstore::CommitReply&)> done) {
--- a/tests/election_simulation.cpp
+++ b/tests/election_simulation.cpp
@@ -160,6 +160,16 @@
     return delivery;
 }
 
+void ElectionSimulation::repeat_request(Link link, const std::function<void()>& execute) {
+    if (repeated_requests == 0 || !chance(repeated_requests)) return;
+    const Millis max_delay = chance(0.5) ? 1'000 : 60'000;
+    at(now_ + delay(max_delay), [this, link, execute] {
+        if (link == Link::state && store_.is_down()) return;
+        ++copies_;
+        execute();
+    });
+}
+
 void ElectionSimulation::count_lost_replies(RequestKind kind, std::size_t first_change) {
     for (std::size_t index = first_change; index < store_.change_count(); ++index)
         ++lost_write_replies_by_key_[store_.changed_key(index)];
--- a/tests/election_simulation.h
+++ b/tests/election_simulation.h
@@ -50,6 +50,11 @@
     /// Probability that a transaction, or a request for a lease, is executed at once and only its
     /// reply is lost.
     double lost_write_replies = 0;
+    /// Probability that a request that changes something and was answered arrives again, between a
+    /// moment and a minute later. Nobody receives the reply to the copy.
+    double repeated_requests = 0;
+    /// Returns the number of copies that were executed.
+    std::size_t copies() const { return copies_; }
     /// Returns the number of writes with a lost reply that changed keys with the prefix. The prefix
     /// "hold" stands for lease requests.
     std::size_t lost_write_replies_of(const std::string& prefix) const;
@@ -114,6 +119,7 @@
     template <typename Reply>
     void send_request(Controller& controller, Request<Reply> request);
     Delivery draw_delivery(const Controller& controller, Link link, RequestKind kind);
+    void repeat_request(Link link, const std::function<void()>& execute);
     void count_lost_replies(RequestKind kind, std::size_t first_change);
 
     void start(std::size_t index);
@@ -144,6 +150,7 @@
     std::size_t acts_refused_ = 0;
     std::size_t requests_ = 0;
     std::size_t late_applied_ = 0;
+    std::size_t copies_ = 0;
     std::map<std::string, std::size_t> lost_write_replies_by_key_;
     Millis vacant_since_[lease::kRoleCount] = {};
     Millis longest_vacancy_[lease::kRoleCount] = {};
--- a/tests/election_simulation_controller.h
+++ b/tests/election_simulation_controller.h
@@ -163,6 +163,8 @@
                         ++late_applied_;
                 }
                 if (!delivery.reply_arrives) return;
+                if (kKind != RequestKind::read)
+                    repeat_request(sent->link, [sent] { static_cast<void>(sent->execute()); });
                 run_in_process(controller, now_ + delay(10), [&controller, sent, reply] {
                     sent->done(controller.local_time(), reply);
                 });
--- a/tests/simulated_machine.h
+++ b/tests/simulated_machine.h
@@ -66,7 +66,9 @@
     std::map<TaskId, SimulatedTask> tasks;
     std::set<std::string> images;     ///< in the worker's cache
     std::set<AttemptId> seen_starts;  ///< attempts started and not yet forgotten
-    wire::Heartbeat first, last;      ///< the first and the last heartbeat sent
+    /// Exited and not yet forgotten attempts of tasks that were started again here.
+    std::map<AttemptId, wire::ExitCause> superseded;
+    wire::Heartbeat first, last;  ///< the first and the last heartbeat sent
 
     // The worker's connection to a controller or a forwarder.
     std::size_t target = 0;                ///< the controller that it sends heartbeats to
--- a/tests/simulated_workers.h
+++ b/tests/simulated_workers.h
@@ -66,6 +66,8 @@
 
     /// Returns how often a stop command reached a task that had not exited.
     [[nodiscard]] std::size_t stopped_tasks() const { return stopped_tasks_; }
+    /// Returns how often a start command took effect.
+    [[nodiscard]] std::size_t started_attempts() const { return started_attempts_; }
     /// Returns how many tasks ended because their worker's lease expired.
     [[nodiscard]] std::size_t tasks_killed_by_lease() const { return tasks_killed_by_lease_; }
 
@@ -91,6 +93,7 @@
     Observer observer_;
     Machines machines_;
     std::size_t stopped_tasks_ = 0;
+    std::size_t started_attempts_ = 0;
     std::size_t tasks_killed_by_lease_ = 0;
 };
 
--- a/tests/simulation_coverage.h
+++ b/tests/simulation_coverage.h
@@ -28,7 +28,14 @@
     std::size_t held_copies_of_old_incarnations = 0;
     std::size_t held_heartbeats_delivered = 0;  ///< held originals, as opposed to copies
     std::size_t cancellations_during_load = 0;  ///< changes between a leader's first and last read
-    Millis longest_wait = 0;                    ///< see ClusterSimulation::expect_wait_below()
+    std::map<std::string, std::size_t> repeated_requests;  ///< copies that arrived, by kind
+    std::map<std::string, std::size_t>
+        repeated_commits_applied;  ///< copies whose conditions still held, by commit_kind()
+    std::size_t repeated_commands_rejected = 0;  ///< copies with an old token or incarnation
+    std::size_t repeated_commands_executed = 0;  ///< copies that the worker accepted
+    std::size_t repeated_starts = 0;             ///< starts in the accepted copies
+    std::size_t forgotten_by_restart = 0;  ///< of these, attempts lost with the worker's process
+    Millis longest_wait = 0;               ///< see ClusterSimulation::expect_wait_below()
 };
 
 }  // namespace nickelramp::test
--- a/tests/simulation_faults.h
+++ b/tests/simulation_faults.h
@@ -51,6 +51,10 @@
     Millis watch_delay = 0;                   ///< maximum delay of watched changes of open records
     Millis deletion_notice_delay = 0;         ///< maximum additional delay of watched deletions
     double state_writes_per_s = 0;  ///< write rate limit, with bursts of up to 1 s; 0: none
+
+    // Requests of all kinds (RequestRepeater).
+    double repeated_requests = 0;           ///< a request that was answered arrives again
+    std::string repeated_requests_of = "";  ///< restricts it to this kind; empty: any
 };
 
 /// Some machines of a zone are unreachable from outside the zone for a while.
