Draw one random number a statement

Cause: eight tests failed on x86-64 with "traces differ": WorkerChannel, FailureDetector, JobCompletion, Reachability, WaitingJobs and Drain drew several random numbers within the arguments of one call.

Change: each of these draws has a statement of its own, in the order from left to right, that of the recording; the recorded file is unchanged, and so are seeds, bounds and assertions.

--- a/src/autoscaling/autoscaler.cpp
+++ b/src/autoscaling/autoscaler.cpp
@@ -201,10 +201,11 @@
         forecast_.replica_headroom().free_slots - machine.replica_slots <
             forecast_.wanted_replica_slots(now);
     if (needed_for_replicas) return seconds(kNeededRetentionBoots * boot_s);
-    if (machine.type == kNone ||
-        forecast_.mutable_demand(machine.type).available_for_whole_machine_tasks >
-            forecast_.wanted_spare_machines(machine.type, now))
-        return seconds(kSurplusRetentionS);
+    if (machine.type == kNone) return seconds(kSurplusRetentionS);
+    const std::size_t available =
+        forecast_.mutable_demand(machine.type).available_for_whole_machine_tasks;
+    const std::size_t wanted = forecast_.wanted_spare_machines(machine.type, now);
+    if (available > wanted) return seconds(kSurplusRetentionS);
     return seconds(kNeededRetentionBoots * boot_s);
 }
 
--- a/src/forecast/demand_forecast.cpp
+++ b/src/forecast/demand_forecast.cpp
@@ -45,8 +45,9 @@
         if (!frees_machine(statistics) || statistics.weight <= 0) continue;
         left += statistics.machine_share * std::min(1.0, boot_s / mean_run_s(statistics));
     }
-    return std::max(0.0, arrivals.expected_within(boot_s, now) - left) +
-           margin * std::sqrt(2.0) * arrivals.deviation_within(boot_s, now);
+    const double expected = arrivals.expected_within(boot_s, now);
+    const double deviation = arrivals.deviation_within(boot_s, now);
+    return std::max(0.0, expected - left) + margin * std::sqrt(2.0) * deviation;
 }
 
 // Computes the cost of the job's slots on each kind of machine, and the cheapest type.
--- a/src/sharding/shard_machine_selector.cpp
+++ b/src/sharding/shard_machine_selector.cpp
@@ -28,8 +28,9 @@
 void ShardMachineSelector::add_candidates(const wire::MachineType& machine_type, std::size_t count,
                                           Millis now, MachinesByZone& by_zone) {
     const Index type = cluster_.type_names().find(machine_type.name);
-    const bool has_surplus = forecast_.mutable_demand(type).available_for_whole_machine_tasks >
-                             forecast_.wanted_spare_machines(type, now) + count;
+    const std::size_t available = forecast_.mutable_demand(type).available_for_whole_machine_tasks;
+    const std::size_t wanted = forecast_.wanted_spare_machines(type, now);
+    const bool has_surplus = available > wanted + count;
     const placement::Need whole_machine{machine_type.cpus, machine_type.gpus,
                                         machine_type.memory_gb};
     cluster_.free_capacity().for_each_candidate(
--- a/tests/command_fence_test.cpp
+++ b/tests/command_fence_test.cpp
@@ -136,8 +136,9 @@
     }
     // Sends a heartbeat of the worker and delivers the reply.
     HeartbeatReply exchange_heartbeat() {
-        const HeartbeatReply reply = reconciler.on_heartbeat(
-            worker.report(), machines::HeartbeatArrival{true, now}, now += 500);
+        const machines::HeartbeatArrival arrival{true, now};
+        now += 500;
+        const HeartbeatReply reply = reconciler.on_heartbeat(worker.report(), arrival, now);
         worker.receive(reply);
         return reply;
     }
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -22,6 +22,7 @@
 #include "peers/messages.h"
 #include "shards/shard_lease_table.h"
 #include "tests/golden_samples.h"
+#include "tests/mutated_bytes.h"
 #include "wire/json_text.h"
 #include "wire/messages.h"
 
@@ -150,18 +151,20 @@
 }
 
 TEST(DecoderFuzz, DeeplyNestedJsonIsRefused) {
-    for (const auto& [opening, closing] :
-         {std::pair{"[", "]"}, std::pair{R"({"a":)", "}"}, std::pair{R"([{"a":)", "}]"}}) {
-        const std::size_t levels_each = std::string(closing).size();
+    struct Nesting {
+        std::string opening, closing;
+    };
+    for (const Nesting& nesting : {Nesting{"[", "]"}, {R"({"a":)", "}"}, {R"([{"a":)", "}]"}}) {
+        const std::size_t levels_each = nesting.closing.size();
         auto text = [&](std::size_t levels) {
             std::string nested = "1";
             for (std::size_t level = 0; level < levels; level += levels_each)
-                nested.insert(0, opening).append(closing);
+                nested.insert(0, nesting.opening).append(nesting.closing);
             return nested;
         };
-        EXPECT_TRUE(wire::decode_json(text(wire::kMaxRequestDepth))) << opening;
-        EXPECT_FALSE(wire::decode_json(text(wire::kMaxRequestDepth + 2))) << opening;
-        EXPECT_FALSE(wire::decode_json(text(kRequestBytes))) << opening;
+        EXPECT_TRUE(wire::decode_json(text(wire::kMaxRequestDepth))) << nesting.opening;
+        EXPECT_FALSE(wire::decode_json(text(wire::kMaxRequestDepth + 2))) << nesting.opening;
+        EXPECT_FALSE(wire::decode_json(text(kRequestBytes))) << nesting.opening;
     }
     EXPECT_FALSE(wire::decode_json(std::string(kReplyBytes, '[')));
 }
@@ -172,8 +175,7 @@
         Json{{"value", 2.5}, {"id", "up"}, {"machines", {"m-1", "m-2"}}, {"all", true}}.dump();
     for (int round = 0; round < 10 * rounds(); ++round) {
         std::string mutated = sample;
-        for (int change = 0; change < kChangesPerMutation; ++change)
-            mutated[random() % mutated.size()] = static_cast<char>(random());
+        test::mutate_bytes(mutated, kChangesPerMutation, random);
         std::string field;
         static_cast<void>(drain::parse_request(wire::decode_json(mutated).value_or(Json()), field));
     }
@@ -185,8 +187,7 @@
         decode_everywhere(sample);
         for (int round = 0; round < rounds(); ++round) {
             std::string mutated = sample;
-            for (int change = 0; change < kChangesPerMutation; ++change)
-                mutated[random() % mutated.size()] = static_cast<char>(random());
+            test::mutate_bytes(mutated, kChangesPerMutation, random);
             if (random() % 4 == 0) mutated.resize(random() % mutated.size());
             decode_everywhere(mutated);
         }
@@ -203,9 +204,11 @@
     for (int round = 0; round < 10 * rounds(); ++round) {
         std::string body = "\xa1\x60";
         const std::size_t size = 1 + random() % 24;
-        for (std::size_t i = 0; i < size; ++i)
-            body.push_back(
-                static_cast<char>(random() % 4 == 0 ? random() : kBytes[random() % sizeof kBytes]));
+        for (std::size_t i = 0; i < size; ++i) {
+            const bool is_arbitrary = random() % 4 == 0;
+            const auto value = random();
+            body.push_back(static_cast<char>(is_arbitrary ? value : kBytes[value % sizeof kBytes]));
+        }
         decode_everywhere(body);
     }
 }
--- a/tests/drain_test.cpp
+++ b/tests/drain_test.cpp
@@ -67,14 +67,17 @@
         PlannerFixture p;
         const int machines = *rc::gen::inRange(2, 14);
         for (int n = 0; n < machines; ++n) {
-            p.add_ready_machine("m-" + std::to_string(n), *rc::gen::element("g4", "plain"),
-                                *rc::gen::element("a", "b"), *rc::gen::inRange(0, 4) == 0);
+            const char* type = *rc::gen::element("g4", "plain");
+            const char* zone = *rc::gen::element("a", "b");
+            const bool spot = *rc::gen::inRange(0, 4) == 0;
+            p.add_ready_machine("m-" + std::to_string(n), type, zone, spot);
         }
         const int entered = *rc::gen::inRange(1, 8);
         for (int n = 0; n < entered; ++n) {
-            Json spec =
-                job("job-" + std::to_string(n), *rc::gen::element("sweep", "ensemble", "standing"),
-                    *rc::gen::inRange(1u, 6u), *rc::gen::inRange(0, 3));
+            const char* shape = *rc::gen::element("sweep", "ensemble", "standing");
+            const auto tasks = *rc::gen::inRange(1u, 6u);
+            const int gpus = *rc::gen::inRange(0, 3);
+            Json spec = job("job-" + std::to_string(n), shape, tasks, gpus);
             spec["crew"] = "unheard";
             spec["standby"] = *rc::gen::arbitrary<bool>();
             spec["scatter"] = *rc::gen::arbitrary<bool>();
--- a/tests/failure_detector_test.cpp
+++ b/tests/failure_detector_test.cpp
@@ -313,8 +313,9 @@
                 std::mt19937_64 random(seed);
                 auto submit_job = [&](int n) {
                     const char* shapes[] = {"standing", "sweep", "ensemble"};
-                    auto spec = job("job-" + std::to_string(n), shapes[n % 3], 1 + random() % 4,
-                                    1 + static_cast<double>(random() % 2));
+                    const auto tasks = 1 + random() % 4;
+                    const double gpus = 1 + static_cast<double>(random() % 2);
+                    auto spec = job("job-" + std::to_string(n), shapes[n % 3], tasks, gpus);
                     if (n % 3 == 0) spec["scatter"] = true;
                     if (n % 3 == 2) spec["one_zone"] = true;
                     if (n % 4 == 1) spec["standby"] = true;
--- a/tests/job_completion_test.cpp
+++ b/tests/job_completion_test.cpp
@@ -156,7 +156,9 @@
         std::vector<std::string> ids;
         while (simulation.now() < 90'000 && !HasFailure()) {
             ids.push_back("job-" + std::to_string(ids.size()));
-            simulation.submit(job(ids.back(), kShapes[random() % 2], 1 + random() % 3, 1));
+            const char* shape = kShapes[random() % 2];
+            const auto tasks = 1 + random() % 3;
+            simulation.submit(job(ids.back(), shape, tasks, 1));
             if (reload_records && random() % 3 == 0)
                 simulation.reload_open_records(500 + random_below(6'000));
             if (!reload_records && random() % 6 == 0) simulation.restart_holders();
@@ -292,10 +294,13 @@
                 case 1:
                     simulation.freeze(controller, 1'000 + random() % 8'000);
                     break;
-                case 2:
-                    simulation.partition(controller, ElectionSimulation::Link::cloud,
-                                         4'000 + random() % 8'000, random() % 2 == 0);
+                case 2: {
+                    const auto duration = 4'000 + random() % 8'000;
+                    const bool held = random() % 2 == 0;
+                    simulation.partition(controller, ElectionSimulation::Link::cloud, duration,
+                                         held);
                     break;
+                }
                 case 3:
                     simulation.crash(std::min(simulation.role_holder(Role::garbage_collection),
                                               simulation.size() - 1),
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -6,6 +6,7 @@
 
 #include "peers/messages.h"
 #include "readiness/peer_health.h"
+#include "tests/mutated_bytes.h"
 #include "tests/trace.h"
 
 namespace {
@@ -120,8 +121,7 @@
     int decoded = 0;
     for (int i = 0; i < 50000; ++i) {
         std::string mutated = body;
-        for (int change = 0; change < 2; ++change)
-            mutated[random() % mutated.size()] = static_cast<char>(random());
+        nickelramp::test::mutate_bytes(mutated, 2, random);
         decoded += decode_shard_grant(mutated) ? 1 : 0;
         decode_status(mutated);
         decode_shard_status(mutated);
--- a/tests/reachability_test.cpp
+++ b/tests/reachability_test.cpp
@@ -43,7 +43,10 @@
         SimulatedDay day(seed, faults, seed % 5 == 0 ? 1 : 0);
         const char* shapes[] = {"sweep", "ensemble", "standing"};
         for (std::size_t n = 0; n < 14; ++n) {
-            day.submit(shapes[day.random() % 3], 1 + day.random() % 6, 1 + day.random() % 2);
+            const char* shape = shapes[day.random() % 3];
+            const auto tasks = 1 + day.random() % 6;
+            const auto gpus = 1 + day.random() % 2;
+            day.submit(shape, tasks, gpus);
             day.run(300 + day.random_below(6'000));
             if (day.random() % 3 == 0) {
                 inherited += day.simulation.working_machines().size();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -4,6 +4,7 @@
 
 #include "relay/worker_balancer.h"
 #include "tests/cluster_simulation.h"
+#include "tests/mutated_bytes.h"
 
 namespace {
 
@@ -83,7 +84,7 @@
     std::mt19937 random(1);
     for (int i = 0; i < 20'000; ++i) {
         std::string noise = body;
-        for (int k = 0; k < 3; ++k) noise[random() % noise.size()] = static_cast<char>(random());
+        test::mutate_bytes(noise, 3, random);
         if (auto decoded = peers::decode_forwarded_heartbeat(noise)) {
             EXPECT_NE(decoded->term, 0u);
             EXPECT_FALSE(decoded->heartbeat.machine.empty());
--- a/tests/simulated_users.h
+++ b/tests/simulated_users.h
@@ -230,8 +230,8 @@
             {jobs::job_key(id),
              wire::Json{{"final", is_cancelled ? "withdrawn" : "done"}, {"tasks", 3}}},
             {open->first, std::nullopt}};
-        const Millis end =
-            store.now + (store.chance(store.late_write_rate) ? 3'000 : 0) + store.random_delay(100);
+        const Millis lateness = store.chance(store.late_write_rate) ? 3'000 : 0;
+        const Millis end = store.now + lateness + store.random_delay(100);
         if (!is_cancelled && store.random() % 3 == 0) {
             store.at(std::max(store.now, end - 60) + store.random_delay(100),
                      [this, id] { cancel_job(id); });
--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -11,6 +11,7 @@
 using test::ClusterSimulation;
 using test::Faults;
 using test::job;
+using test::Partition;
 
 constexpr Millis kMaxWait = 90'000;
 
@@ -52,8 +53,13 @@
     int jobs = 0;
     auto submit = [&] {
         const std::string id = "job-" + std::to_string(jobs);
-        wire::Json spec = job(id, shapes[jobs % 4], 1 + random() % 5, 1 + random() % 2);
-        if (jobs % 4 == 3) spec["legs"] = 1 + random() % 2, spec["cards"] = 1;
+        const auto tasks = 1 + random() % 5;
+        const auto gpus = 1 + random() % 2;
+        wire::Json spec = job(id, shapes[jobs % 4], tasks, gpus);
+        if (jobs % 4 == 3) {
+            spec["legs"] = 1 + random() % 2;
+            spec["cards"] = 1;
+        }
         if (random() % 2 == 0) spec["crew"] = "blue";
         if (random() % 4 == 0)
             spec["scatter"] = true;
@@ -79,10 +85,14 @@
                               : simulation.block_commands(name, until);
         }
         if (partitions && random() % 4 == 0) {
-            simulation.partition({random() % 2 == 0 ? "a" : "b",
-                                  0.3 + 0.35 * static_cast<double>(below(3)), random() % 2 == 0,
-                                  random() % 2 == 0, false, simulation.now(),
-                                  std::min(end, simulation.now() + 5'000 + below(50'000))});
+            Partition partition;
+            partition.zone = random() % 2 == 0 ? "a" : "b";
+            partition.share = 0.3 + 0.35 * static_cast<double>(below(3));
+            partition.freezes_machines = random() % 2 == 0;
+            partition.delays_commands = random() % 2 == 0;
+            partition.from = simulation.now();
+            partition.until = std::min(end, simulation.now() + 5'000 + below(50'000));
+            simulation.partition(partition);
         }
         simulation.run_until(simulation.now() + 2'000 + below(12'000));
     }
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "admin/options.h"
+#include "tests/mutated_bytes.h"
 #include "wire/messages.h"
 #include "wire/settings.h"
 
@@ -75,8 +76,7 @@
     int accepted = 0;
     for (int i = 0; i < 20000; ++i) {
         std::string mutated = bytes;
-        for (int change = 0; change < 3; ++change)
-            mutated[random() % mutated.size()] = static_cast<char>(random());
+        test::mutate_bytes(mutated, 3, random);
         if (const auto body = wire::decode_map(mutated))
             accepted += wire::decode_heartbeat(*body) ? 1 : 0;
     }
--- a/tests/worker_channel_simulation_test.cpp
+++ b/tests/worker_channel_simulation_test.cpp
@@ -274,7 +274,10 @@
     for (int n = 0; n < 12; ++n) {
         const char* shapes[] = {"sweep", "ensemble", "standing"};
         ids.push_back("job-" + std::to_string(n));
-        wire::Json spec = job(ids.back(), shapes[random() % 3], 1 + random() % 6, 1 + random() % 2);
+        const char* shape = shapes[random() % 3];
+        const auto tasks = 1 + random() % 6;
+        const auto gpus = 1 + random() % 2;
+        wire::Json spec = job(ids.back(), shape, tasks, gpus);
         if (n % 3 == 0) spec["crew"] = "blue";
         simulation.submit(spec);
         simulation.run_until(simulation.now() + static_cast<Millis>(random() % 9'000));
