Log which transaction the state service refuses as malformed

The controllers logged 'reply cannot be read: target=/commit status=400', once every 5 s, which names no record: it could not be told from a refused checkpoint, shard or submission. The log line of a transaction now has the first key that it writes, the number of writes and the bytes sent. The text says 'unexpected reply', as the reply to a malformed request can be read.

--- a/src/kvstore/client.cpp
+++ b/src/kvstore/client.cpp
@@ -20,6 +20,16 @@
 constexpr Millis kPingTimeout = 1'000;
 constexpr Millis kUnexpectedReplyLogInterval = 5'000;
 constexpr const char* kPingKey = "lead/term";
+constexpr const char* kCommitTarget = "/commit";
+
+// Returns the target of a transaction as shown in logs, with its size and the first key that it
+// writes.
+std::string logged_target(const Transaction& transaction, std::size_t body_bytes) {
+    std::string target = kCommitTarget;
+    if (!transaction.writes.empty()) target += " first_key=" + transaction.writes.front().key;
+    target += " writes=" + std::to_string(transaction.writes.size());
+    return target + " sent_bytes=" + std::to_string(body_bytes);
+}
 }  // namespace
 
 Client::Client(uv_loop_t* loop, const sockaddr_in& address, const std::string& host,
@@ -82,11 +92,12 @@
                     CommitDone done, net::HttpClient::MaySend may_send) {
     QueuedRequest request;
     request.method = "POST";
-    request.target = "/commit";
+    request.target = kCommitTarget;
     request.body = encode_transaction(transaction);
     request.writes = static_cast<double>(transaction.writes.size());
     request.timeout = timeout;
-    request.on_reply = parsed_by(parse_commit_reply, request.target, std::move(done));
+    request.on_reply = parsed_by(
+        parse_commit_reply, logged_target(transaction, request.body.size()), std::move(done));
     request.may_send = std::move(may_send);
     queue_.submit(request_class, std::move(request));
 }
@@ -113,7 +124,7 @@
                                const net::ClientReply& reply) {
     if (status != Status::protocol_error || now() < may_log_unexpected_at_) return;
     may_log_unexpected_at_ = now() + kUnexpectedReplyLogInterval;
-    spdlog::error("state service: reply cannot be read: target={} status={} bytes={}", target,
+    spdlog::error("state service: unexpected reply: target={} status={} bytes={}", target,
                   reply.status, reply.body.size());
 }
 
