--- a/src/kvstore/client.cpp
+++ b/src/kvstore/client.cpp
@@ -96,8 +96,8 @@
     request.body = encode_transaction(transaction);
     request.writes = static_cast<double>(transaction.writes.size());
     request.timeout = timeout;
-    request.on_reply = parsed_by(
-        parse_commit_reply, logged_target(transaction, request.body.size()), std::move(done));
+    request.on_reply = parsed_by(parse_commit_reply,
+                                 logged_target(transaction, request.body.size()), std::move(done));
     request.may_send = std::move(may_send);
     queue_.submit(request_class, std::move(request));
 }
