Open records: no unused argument, one limit for values in bytes

encode_open_record took whether the job is cancelled, which is false wherever a record is written; the golden record of the first versions sets the field itself, with the same bytes. wire::Settings::max_value_bytes replaces two conversions of value_kb and the constant in the simulated store, which now checks the limit of its settings (the same 8 KiB). Simulations ask jobs::is_cancel_requested instead of naming the stored field.

--- a/src/api/job_request_handler.cpp
+++ b/src/api/job_request_handler.cpp
@@ -28,7 +28,6 @@
 // Only a few requests wait at a time; the others are answered with 503.
 constexpr Millis kJobEndTimeout = 800;
 constexpr std::size_t kMaxPendingCancellations = 2;
-constexpr double kBytesPerKilobyte = 1024;
 
 constexpr int kOk = 200, kCreated = 201, kBadRequest = 400, kNotFound = 404,
               kMethodNotAllowed = 405, kUnprocessable = 422, kUnavailable = 503;
@@ -53,17 +52,16 @@
 // Parses a submission. The error is the response to an invalid one. Unknown fields are ignored:
 // they are not stored and do not count towards the size limit.
 Result<Submission, Response> read_submission(const std::string& body, std::int64_t wall_ms,
-                                             double max_value_kb) {
+                                             double max_value_bytes) {
     const auto map = wire::decode_map(body);
     if (!map || !wire::is_plain_json(*map))
         return failure(kBadRequest, "the body is no CBOR map of plain values");
     auto spec = wire::parse_job(*map);
     if (!spec) return failure(kBadRequest, spec.error().message());
     if (!wire::json_size(*map)) return failure(kBadRequest, "text is to be UTF-8");
-    Json open_record = jobs::encode_open_record(wire::known_job_fields(*map), wall_ms, false);
+    Json open_record = jobs::encode_open_record(wire::known_job_fields(*map), wall_ms);
     const auto size = static_cast<double>(wire::json_size(open_record).value());
-    if (size > max_value_kb * kBytesPerKilobyte)
-        return failure(kBadRequest, "the description is too long");
+    if (size > max_value_bytes) return failure(kBadRequest, "the description is too long");
     return Submission{std::move(*spec), std::move(open_record)};
 }
 
@@ -151,7 +149,7 @@
 void JobRequestHandler::handle_submission(const net::Request& request, Respond respond) {
     if (request.method != "POST") return respond(failure(kMethodNotAllowed, "use POST"));
     if (is_overloaded()) return respond(try_again());
-    auto submission = read_submission(request.body, hooks_.wall_ms(), settings_.state_value_kb);
+    auto submission = read_submission(request.body, hooks_.wall_ms(), settings_.max_value_bytes());
     if (!submission) return respond(submission.error());
     if (!has_machine_types()) return respond(try_again());  // cannot be validated yet
     submit(submission->spec, std::move(submission->open_record),
--- a/src/autoscaling/intent_log.cpp
+++ b/src/autoscaling/intent_log.cpp
@@ -102,7 +102,7 @@
 bool IntentLog::add(lease::Role role, ProvisioningIntent intent) {
     Record& target = record(role);
     if (target.entries.contains(intent.name)) return true;
-    const std::size_t max_bytes = static_cast<std::size_t>(term_.settings().state_value_kb * 1024) *
+    const std::size_t max_bytes = static_cast<std::size_t>(term_.settings().max_value_bytes()) *
                                   kEntriesNumerator / kEntriesDenominator;
     if (target.bytes + bytes_of(intent) > max_bytes) return false;
     target.bytes += bytes_of(intent);
--- a/src/jobs/job_records.cpp
+++ b/src/jobs/job_records.cpp
@@ -31,9 +31,8 @@
 
 }  // namespace
 
-wire::Json encode_open_record(const wire::Json& spec, std::int64_t accepted_wall_ms,
-                              bool cancelled) {
-    return {{"spec", spec}, {"at", accepted_wall_ms}, {kCancelled, cancelled}};
+wire::Json encode_open_record(const wire::Json& spec, std::int64_t accepted_wall_ms) {
+    return {{"spec", spec}, {"at", accepted_wall_ms}, {kCancelled, false}};
 }
 
 std::optional<OpenRecord> decode_open_record(const wire::Json& value) {
--- a/src/jobs/job_records.h
+++ b/src/jobs/job_records.h
@@ -19,10 +19,9 @@
     bool cancel_requested = false;      // reported to the user once no task is left
 };
 
-/// Encodes an open record. `spec` has the known fields of the submission as the user sent them.
-/// Records of earlier versions have its unknown fields, too.
-[[nodiscard]] wire::Json encode_open_record(const wire::Json& spec, std::int64_t accepted_wall_ms,
-                                            bool cancelled);
+/// Encodes the open record of a new job. `spec` has the known fields of the submission as the user
+/// sent them. Records of earlier versions have its unknown fields, too.
+[[nodiscard]] wire::Json encode_open_record(const wire::Json& spec, std::int64_t accepted_wall_ms);
 
 /// Returns std::nullopt if the value contains no valid job description.
 [[nodiscard]] std::optional<OpenRecord> decode_open_record(const wire::Json& value);
--- a/src/wire/settings.h
+++ b/src/wire/settings.h
@@ -10,6 +10,8 @@
 
 namespace nickelramp::wire {
 
+inline constexpr double kBytesPerKilobyte = 1024;
+
 /// Another controller. Addresses in this file are IPv4 with a port, as read by net::parse_address.
 struct Peer {
     std::string name, zone, address;
@@ -53,6 +55,8 @@
     /// size of a value, and operations per transaction (at least 4).
     double state_requests_per_s = 0, state_writes_per_s = 0, state_value_kb = 0;
     std::size_t state_txn_ops = 0;
+    /// Returns the size limit of a value in bytes, counted as JSON.
+    [[nodiscard]] double max_value_bytes() const { return state_value_kb * kBytesPerKilobyte; }
     /// Limits of the cloud: calls per second, and the maximum age of its instance lists in seconds.
     double cloud_requests_per_s = 0, cloud_list_lag_s = 0;
     /// Limits of this process: share of a CPU, memory, and number of sockets (at least 64).
--- a/tests/cluster_simulation.cpp
+++ b/tests/cluster_simulation.cpp
@@ -115,7 +115,7 @@
         return;
     }
     store_.put(jobs::job_key(parsed->id), Json{{"final", nullptr}, {"tasks", parsed->tasks}});
-    store_.put(jobs::open_key(parsed->id), jobs::encode_open_record(spec, now(), false));
+    store_.put(jobs::open_key(parsed->id), jobs::encode_open_record(spec, now()));
     notify_leader(jobs::open_key(parsed->id));
 }
 
@@ -204,11 +204,10 @@
     std::string text;
     for (const auto& [id, job] : leader()->open_jobs()) {
         const auto* open = store_.find(jobs::open_key(id));
-        const bool unwanted =
-            open != nullptr && wire::flag_field(open->value, "unwanted").value_or(false);
+        const bool cancel_requested = open != nullptr && jobs::is_cancel_requested(open->value);
         text += id + " is " + jobs::name(job->state) + ", version " + std::to_string(job->version) +
                 " of " + std::to_string(open == nullptr ? 0 : open->version) +
-                (unwanted ? ", cancel requested" : "") +
+                (cancel_requested ? ", cancel requested" : "") +
                 (job->commit_in_flight ? ", commit in flight" : "") + ":";
         for (const auto& attempt : job->attempts) {
             text += std::string(" ") + jobs::name(attempt->state) +
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -106,7 +106,7 @@
 // Messages of every kind that holds records or values of others.
 std::vector<std::string> samples() {
     const Json job = test::golden::full_job();
-    const Json open = jobs::encode_open_record(job, 1, false);
+    const Json open = jobs::encode_open_record(job, 1);
     const Json run = jobs::encode_run_record({5, {{1, 2, true, "i-000001"}, {2, 1, false, ""}}});
     const Json type = {{"name", "g8"},   {"cores", 96},    {"mem_gb", 768},
                        {"boot_s", 45.5}, {"yards", {"a"}}, {"hourly", 12.0}};
--- a/tests/golden_records_test.cpp
+++ b/tests/golden_records_test.cpp
@@ -95,14 +95,16 @@
 }
 
 TEST_F(GoldenRecords, OpenJobWithEveryFieldKeepsItsBytes) {
-    value("full", jobs::encode_open_record(full_job(), 1'700'000'000'123, false));
-    value("cancelled", jobs::encode_open_record(full_job(), 1'700'000'000'123, true));
-    value("minimal", jobs::encode_open_record(minimal_job(), 0, false));
-    Json to_be_cancelled = jobs::encode_open_record(minimal_job(), 0, false);
+    value("full", jobs::encode_open_record(full_job(), 1'700'000'000'123));
+    // The first versions told users at once, and set the field that is false in new records.
+    Json cancelled = jobs::encode_open_record(full_job(), 1'700'000'000'123);
+    cancelled["cancelled"] = true;
+    value("cancelled", cancelled);
+    value("minimal", jobs::encode_open_record(minimal_job(), 0));
+    Json to_be_cancelled = jobs::encode_open_record(minimal_job(), 0);
     jobs::request_cancel(to_be_cancelled);
     value("cancel requested", to_be_cancelled);
-    value("fields of later versions",
-          jobs::encode_open_record({{"later", {1, 2.5, "x"}}}, -1, false));
+    value("fields of later versions", jobs::encode_open_record({{"later", {1, 2.5, "x"}}}, -1));
 }
 
 TEST_F(GoldenRecords, OpenJobsAreReadAsTheyWere) {
--- a/tests/golden_transactions_test.cpp
+++ b/tests/golden_transactions_test.cpp
@@ -193,7 +193,7 @@
     text("read by the holder", record.reads.front().key);
     kvstore::GetReply open;
     open.status = kvstore::Status::ok;
-    open.entry = {"open/job-2", jobs::encode_open_record(job("job-2", "sweep", 8, 0), 0, false), 32,
+    open.entry = {"open/job-2", jobs::encode_open_record(job("job-2", "sweep", 8, 0), 0), 32,
                   false};
     RecordingGateway::answer(record.reads, 1010, open);
     ASSERT_EQ(record.lists.size(), 1u);
--- a/tests/job_requests_test.cpp
+++ b/tests/job_requests_test.cpp
@@ -285,7 +285,7 @@
 
   private:
     static int record_bytes(const Json& description) {
-        const Json record = jobs::encode_open_record(description, test::kAcceptedWallMs, false);
+        const Json record = jobs::encode_open_record(description, test::kAcceptedWallMs);
         return static_cast<int>(record.dump().size());
     }
 
--- a/tests/simulated_key_value_store.cpp
+++ b/tests/simulated_key_value_store.cpp
@@ -9,9 +9,7 @@
 
 namespace nickelramp::test {
 
-namespace {
-constexpr std::size_t kMaxValueBytes = 8 * 1024;
-}  // namespace
+namespace {}  // namespace
 
 const char* commit_kind(const kvstore::Transaction& transaction) {
     bool writes = false;
@@ -67,7 +65,7 @@
             observer_.after_delete(write.key);
             continue;
         }
-        EXPECT_LE(write.value->dump().size(), kMaxValueBytes);
+        EXPECT_LE(static_cast<double>(write.value->dump().size()), settings_.max_value_bytes());
         observer_.before_write(write.key, *write.value);
         keys_[write.key] = {*write.value, revision_};
     }
--- a/tests/simulated_users.h
+++ b/tests/simulated_users.h
@@ -222,7 +222,7 @@
         const auto open = store.keys.lower_bound("open/job-" + std::to_string(store.random() % 10));
         if (store.down || open == store.keys.end() || open->first.rfind("open/", 0) != 0) return;
         const std::string id = open->first.substr(5);
-        const bool is_cancelled = open->second.first.value("unwanted", false);
+        const bool is_cancelled = jobs::is_cancel_requested(open->second.first);
         if (!is_cancelled && store.random() % 4 != 0) return;
         kvstore::Transaction transaction;
         transaction.conditions = {{open->first, open->second.second}};
--- a/tests/stored_submissions_test.cpp
+++ b/tests/stored_submissions_test.cpp
@@ -81,7 +81,7 @@
             const Json body = submission("job-1", depth, text_bytes);
             const auto accepted = wire::decode_map(wire::encode(body));
             EXPECT_EQ(accepted.has_value(), depth <= kMaxAcceptedDepth);
-            if (accepted) expect_readable(jobs::encode_open_record(*accepted, 1, false));
+            if (accepted) expect_readable(jobs::encode_open_record(*accepted, 1));
             if (HasFailure()) return;
         }
     }
@@ -99,8 +99,7 @@
     // Writes a record that contains the whole submission, as earlier versions did.
     void write(const Json& body) {
         kvstore::Transaction transaction;
-        transaction.writes = {
-            {jobs::open_key(body["id"]), jobs::encode_open_record(body, 1, false), 0}};
+        transaction.writes = {{jobs::open_key(body["id"]), jobs::encode_open_record(body, 1), 0}};
         std::optional<kvstore::Status> status;
         client->commit(transaction, kvstore::RequestClass::user, 5'000,
                        [&](const kvstore::CommitReply& reply) { status = reply.status; });
