--- a/tests/simulated_key_value_store.cpp
+++ b/tests/simulated_key_value_store.cpp
@@ -9,8 +9,6 @@
 
 namespace nickelramp::test {
 
-namespace {}  // namespace
-
 const char* commit_kind(const kvstore::Transaction& transaction) {
     bool writes = false;
     for (const auto& write : transaction.writes) {
